--- /dev/null
+++ b/src/bin/chicorywingd.rs
@@ -0,0 +1,9 @@
+//! The daemon of an entry instance.
+
+use std::process::ExitCode;
+
+use chicorywing::cli::daemon;
+
+fn main() -> ExitCode {
+    daemon::run()
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,10 @@
+//! The command lines of the daemon and of the operators.
+
+pub mod args;
+pub mod commands;
+pub mod daemon;
+pub mod edit;
+pub mod exit_codes;
+pub mod operator;
+pub mod output;
+pub mod publish;
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,29 @@
+//! What lives as long as the process.
+
+pub mod admin;
+pub mod budget;
+pub mod choice;
+pub mod clock;
+pub mod config;
+pub mod decisions;
+pub mod entry;
+pub mod fence;
+pub mod greeter;
+pub mod heap;
+pub mod holder;
+pub mod keyed;
+pub mod keys;
+pub mod lifecycle;
+pub mod listing;
+pub mod logs;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod peer_server;
+pub mod placement;
+pub mod poison;
+pub mod pool;
+pub mod pool_actor;
+pub mod queue;
+pub mod run;
+pub mod versions;
--- /dev/null
+++ b/src/process/admin.rs
@@ -0,0 +1,123 @@
+//! Serves operators over HTTP: what is in force, the fleet, the decisions.
+
+use std::sync::Arc;
+
+use axum::extract::{Query, State};
+use axum::routing::get;
+use axum::{Json, Router};
+use serde::{Deserialize, Serialize};
+
+use super::decisions::{Decided, Filter};
+use super::node::Node;
+use super::pool_actor::Look;
+
+/// What one instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Data centre that holds it.
+    pub data_centre: Arc<str>,
+    /// Whether callers may be served there.
+    pub is_ready: bool,
+    /// Version in force; 0 for none.
+    pub version: u64,
+    /// Id of the append that carried it.
+    pub id: Arc<str>,
+    /// Instances in its view.
+    pub members: Vec<Arc<str>>,
+    /// Age of its copy of the list.
+    pub list_age_ms: u64,
+    /// Keys that it remembers.
+    pub keys: usize,
+    /// Pools that it holds.
+    pub pools: Vec<PoolStatus>,
+}
+
+/// One pool that an instance holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolStatus {
+    /// Service of the pool.
+    pub service: Arc<str>,
+    /// Data centre of the pool.
+    pub data_centre: Arc<str>,
+    /// Its upstreams.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// One upstream of a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// Name of the upstream.
+    pub name: Arc<str>,
+    /// State by name.
+    pub life: String,
+    /// Calls that run now.
+    pub in_flight: usize,
+    /// Mean time to answer.
+    pub mean_us: u64,
+}
+
+/// The routes for operators.
+pub fn router(node: Arc<Node>) -> Router {
+    Router::new()
+        .route("/status", get(status))
+        .route("/decisions", get(decisions))
+        .with_state(node)
+}
+
+async fn decisions(
+    State(node): State<Arc<Node>>,
+    Query(filter): Query<Filter>,
+) -> Json<Vec<Decided>> {
+    Json(node.decisions.find(&filter))
+}
+
+async fn status(State(node): State<Arc<Node>>) -> Json<Status> {
+    let accepted = node.accepted.load_full();
+    let view = node.view();
+    let mut members = Vec::new();
+    for member in view.members() {
+        members.push(Arc::clone(&member.name));
+    }
+    let keys = node.register().len();
+    Json(Status {
+        name: Arc::clone(&node.me.name),
+        data_centre: Arc::clone(&node.me.data_centre),
+        is_ready: node.is_ready(),
+        version: accepted.version,
+        id: Arc::clone(&accepted.id),
+        members,
+        list_age_ms: node.fence.list_age_ms(node.clock.now_ms()),
+        keys,
+        pools: pools(&node).await,
+    })
+}
+
+async fn pools(node: &Node) -> Vec<PoolStatus> {
+    let mut pools = Vec::new();
+    for (name, actor) in node.pools() {
+        let Ok(view) = actor.ask(Look).await else {
+            continue;
+        };
+        if view.is_closed {
+            continue;
+        }
+        let mut upstreams = Vec::new();
+        for upstream in view.upstreams {
+            upstreams.push(UpstreamStatus {
+                name: upstream.name,
+                life: upstream.life.to_string(),
+                in_flight: upstream.in_flight,
+                mean_us: upstream.mean_us,
+            });
+        }
+        pools.push(PoolStatus {
+            service: name.service,
+            data_centre: name.data_centre,
+            upstreams,
+        });
+    }
+    pools.sort_by(|a, b| (&a.service, &a.data_centre).cmp(&(&b.service, &b.data_centre)));
+    pools
+}
--- /dev/null
+++ b/src/process/config.rs
@@ -0,0 +1,207 @@
+//! The settings of a daemon, read once and checked as a whole.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use strum::{Display, EnumString};
+use thiserror::Error;
+
+use crate::version::reader::{Fields, Placed, Problem, Reader};
+
+/// Shortest secret that signs contexts, in bytes.
+const SECRET_MIN_BYTES: usize = 16;
+/// Most worker threads of a daemon.
+const THREADS_MAX: u64 = 64;
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// Everything that a daemon is told, checked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Unique name of the instance.
+    pub name: Arc<str>,
+    /// Data centre that holds the instance.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where operators connect.
+    pub admin_address: SocketAddr,
+    /// Address of the platform's log.
+    pub log_url: Arc<str>,
+    /// Address of the platform's list.
+    pub list_url: Arc<str>,
+    /// Secret of the deployment that signs contexts.
+    pub context_secret: Arc<str>,
+    /// Form of the log lines.
+    pub log_format: LogFormat,
+    /// Which log lines are written, in the form of `tracing_subscriber`.
+    pub log_filter: Arc<str>,
+    /// Where metrics are sent by UDP in the statsd form, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
+    /// Worker threads.
+    pub worker_threads: usize,
+}
+
+/// Why there is no configuration.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("the settings file {path} cannot be read: {error}; name an existing file")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// The file has faults.
+    #[error("the settings have faults:\n{}", join(.0))]
+    Faulty(Vec<Problem>),
+}
+
+fn join(problems: &[Problem]) -> String {
+    let mut text = String::new();
+    for problem in problems {
+        if !text.is_empty() {
+            text.push('\n');
+        }
+        text.push_str(&problem.to_string());
+    }
+    text
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Where it cannot be read or has faults; all of them are named.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Unreadable {
+            path: path.to_owned(),
+            error,
+        })?;
+        Self::parse(&text, &path.display().to_string()).map_err(ConfigError::Faulty)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the text.
+    pub fn parse(text: &str, source: &str) -> Result<Self, Vec<Problem>> {
+        let mut reader = Reader::new(text, source);
+        let config = reader.root().and_then(|mut fields| {
+            let config = read(&mut reader, &mut fields);
+            fields.finish(&mut reader);
+            config
+        });
+        let problems = reader.into_problems();
+        match config {
+            Some(config) if problems.is_empty() => Ok(config),
+            _ => Err(problems),
+        }
+    }
+}
+
+fn read(reader: &mut Reader<'_>, fields: &mut Fields<'_>) -> Option<Config> {
+    let name = fields.text(reader, "name");
+    let data_centre = fields.text(reader, "data_centre");
+    let caller_address = read_address(reader, fields, "caller_address");
+    let peer_address = read_address(reader, fields, "peer_address");
+    let admin_address = read_address(reader, fields, "admin_address");
+    let log_url = read_url(reader, fields, "log_url");
+    let list_url = read_url(reader, fields, "list_url");
+    let secret = read_secret(reader, fields);
+    let log_format = read_format(reader, fields);
+    let log_filter = fields.optional_text(reader, "log_filter");
+    let metrics = fields.optional_text(reader, "metrics_address");
+    let metrics_address = metrics.and_then(|text| parse_address(reader, "metrics_address", &text));
+    let threads = fields.number_or(reader, "worker_threads", 1, THREADS_MAX, 2);
+    Some(Config {
+        name: name?.value,
+        data_centre: data_centre?.value,
+        caller_address: caller_address?,
+        peer_address: peer_address?,
+        admin_address: admin_address?,
+        log_url: log_url?,
+        list_url: list_url?,
+        context_secret: secret?,
+        log_format,
+        log_filter: log_filter.map_or_else(|| "info".into(), |filter| filter.value),
+        metrics_address,
+        worker_threads: usize::try_from(threads.value).unwrap_or(1),
+    })
+}
+
+fn read_address(
+    reader: &mut Reader<'_>,
+    fields: &mut Fields<'_>,
+    name: &str,
+) -> Option<SocketAddr> {
+    let text = fields.text(reader, name)?;
+    parse_address(reader, name, &text)
+}
+
+fn parse_address(
+    reader: &mut Reader<'_>,
+    name: &str,
+    text: &Placed<Arc<str>>,
+) -> Option<SocketAddr> {
+    let address = text.value.parse().ok();
+    if address.is_none() {
+        let message = format!(
+            "\"{name}\" is \"{}\"; write an IP address and a port, such as 127.0.0.1:8001",
+            text.value
+        );
+        reader.report(text.offset, message);
+    }
+    address
+}
+
+fn read_url(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<Arc<str>> {
+    let text = fields.text(reader, name)?;
+    if !text.value.starts_with("http://") {
+        let message = format!(
+            "\"{name}\" is \"{}\"; write an address that begins with http://",
+            text.value
+        );
+        reader.report(text.offset, message);
+        return None;
+    }
+    Some(text.value)
+}
+
+fn read_secret(reader: &mut Reader<'_>, fields: &mut Fields<'_>) -> Option<Arc<str>> {
+    let text = fields.text(reader, "context_secret")?;
+    if text.value.len() < SECRET_MIN_BYTES {
+        let message =
+            format!("\"context_secret\" has fewer than {SECRET_MIN_BYTES} bytes; use a longer one");
+        reader.report(text.offset, message);
+        return None;
+    }
+    Some(text.value)
+}
+
+fn read_format(reader: &mut Reader<'_>, fields: &mut Fields<'_>) -> LogFormat {
+    let Some(text) = fields.optional_text(reader, "log_format") else {
+        return LogFormat::Text;
+    };
+    if let Ok(format) = text.value.parse() {
+        return format;
+    }
+    let message = format!(
+        "\"log_format\" is \"{}\"; write \"text\" or \"json\"",
+        text.value
+    );
+    reader.report(text.offset, message);
+    LogFormat::Text
+}
--- /dev/null
+++ b/src/process/entry.rs
@@ -0,0 +1,342 @@
+//! Serves callers over HTTP; `docs/INTERFACE.md` is the reference.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::{Body as HttpBody, to_bytes};
+use axum::extract::{Request, State};
+use axum::http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::response::Response;
+use axum::routing::get;
+use thiserror::Error;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout};
+
+use super::keyed;
+use super::metrics::{Counter, Timer};
+use super::node::Node;
+use super::placement::place;
+use crate::connection::upstream::{from_map, to_map};
+use crate::request::call::Call;
+use crate::request::context::{Context, ContextError};
+use crate::request::headers::{self, HeaderError};
+use crate::request::outcome::{Answer, NotRunReason, Outcome};
+use crate::version::objects::{Objects, Service};
+
+/// First part of the path of a call.
+const CALL_PREFIX: &str = "/call/";
+/// Calls that one instance serves at once.
+const CALLS_MAX: usize = 4096;
+/// Time in which the body of a call must have come.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// When a caller may come back to an instance that is full or stopping.
+const COME_BACK_MS: u64 = 1_000;
+
+/// Why a call is not taken; it has not run.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// The path names no service.
+    #[error("the path must be {CALL_PREFIX}SERVICE/PATH; correct it")]
+    Path,
+    /// No service has that name.
+    #[error("no service is named \"{0}\"; correct the path")]
+    Service(String),
+    /// Neither an API key nor a context.
+    #[error("the call names no organisation; send \"Authorization: Bearer API-KEY\"")]
+    NoKey,
+    /// No organisation owns the API key.
+    #[error("the API key belongs to no organisation; use a key that is in force")]
+    WrongKey,
+    /// A bad context.
+    #[error(transparent)]
+    Context(#[from] ContextError),
+    /// A bad header.
+    #[error(transparent)]
+    Header(#[from] HeaderError),
+    /// A call that may not be repeated lacks its key.
+    #[error(
+        "{0} calls of this service may not be repeated and need an \"Idempotency-Key\"; send one"
+    )]
+    KeyMissing(String),
+    /// The body is too large.
+    #[error("the body is larger than {0} bytes; send a smaller one")]
+    TooLarge(usize),
+    /// The body did not come in time or broke off.
+    #[error("the body did not come whole within {limit} s; send it again", limit = BODY_LIMIT.as_secs())]
+    Body,
+}
+
+impl EntryError {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Path | Self::Service(_) => StatusCode::NOT_FOUND,
+            Self::NoKey | Self::WrongKey => StatusCode::UNAUTHORIZED,
+            Self::Context(_) => StatusCode::FORBIDDEN,
+            Self::Header(_) | Self::KeyMissing(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Entry {
+    node: Arc<Node>,
+    places: Arc<Semaphore>,
+}
+
+/// The routes for callers.
+pub fn router(node: Arc<Node>) -> Router {
+    let entry = Entry {
+        node,
+        places: Arc::new(Semaphore::new(CALLS_MAX)),
+    };
+    Router::new()
+        .route("/health/live", get(|| async { "live\n" }))
+        .route("/health/ready", get(ready))
+        .fallback(serve)
+        .with_state(entry)
+}
+
+async fn ready(State(entry): State<Entry>) -> (StatusCode, &'static str) {
+    if entry.node.is_ready() {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+async fn serve(State(entry): State<Entry>, request: Request) -> Response {
+    let started = Instant::now();
+    let node = &entry.node;
+    let outcome = match entry.places.try_acquire() {
+        Ok(_place) => run(node, request, started).await,
+        Err(_) => Ok((
+            Outcome::not_run(NotRunReason::Overloaded, COME_BACK_MS),
+            "".into(),
+        )),
+    };
+    let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    node.metrics.time(Timer::CallUs, took);
+    match outcome {
+        Ok((outcome, id)) => {
+            node.metrics.count(match outcome {
+                Outcome::Result(_) => Counter::CallsResult,
+                Outcome::NotRun { .. } => Counter::CallsNotRun,
+                Outcome::Unknown { .. } => Counter::CallsUnknown,
+            });
+            respond(outcome, &id)
+        }
+        Err(error) => {
+            node.metrics.count(Counter::CallsNotRun);
+            turn_down(&error)
+        }
+    }
+}
+
+async fn run(
+    node: &Arc<Node>,
+    request: Request,
+    started: Instant,
+) -> Result<(Outcome, Arc<str>), EntryError> {
+    if node.accepted.load().version == 0 || !node.is_joined() || !node.may_send() {
+        let outcome = Outcome::not_run(NotRunReason::Isolated, COME_BACK_MS);
+        return Ok((outcome, "".into()));
+    }
+    let objects = node.objects();
+    let (parts, body) = request.into_parts();
+    let path_and_query = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let (service, path) = split_path(&objects, path_and_query)?;
+    let owner = find_owner(node, &objects, &parts.headers)?;
+    let timeout_header = parts.headers.get(headers::TIMEOUT_MS);
+    let timeout_ms = headers::parse_timeout_ms(timeout_header.map(HeaderValue::as_bytes))?;
+    let is_idempotent = service.is_idempotent(parts.method.as_str());
+    let key = find_key(&parts.headers)?;
+    if !is_idempotent && key.is_none() {
+        return Err(EntryError::KeyMissing(parts.method.to_string()));
+    }
+    let body = read_body(body, service.body_limit_bytes).await?;
+    let deadline = started + Duration::from_millis(timeout_ms);
+    let call = Arc::new(Call {
+        id: new_id(node),
+        service: Arc::clone(&service.name),
+        organisation: owner.organisation,
+        tier: owner.tier,
+        method: parts.method.as_str().into(),
+        path,
+        headers: from_map(&without_connection_options(parts.headers)),
+        body: crate::request::body::Body(body),
+        key,
+        is_idempotent,
+        depth: owner.depth,
+        remaining_us: super::clock::remaining_us(deadline),
+        avoid: None,
+    });
+    let id = Arc::clone(&call.id);
+    let outcome = if is_idempotent {
+        place(node, call, deadline).await
+    } else {
+        keyed::enter(node, call, deadline).await
+    };
+    Ok((outcome, id))
+}
+
+fn new_id(node: &Node) -> Arc<str> {
+    format!(
+        "{}-{:x}-{}",
+        node.me.name,
+        node.me.incarnation,
+        node.next_ticket()
+    )
+    .into()
+}
+
+fn split_path(
+    objects: &Objects,
+    path_and_query: &str,
+) -> Result<(Arc<Service>, Arc<str>), EntryError> {
+    let rest = path_and_query
+        .strip_prefix(CALL_PREFIX)
+        .ok_or(EntryError::Path)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    let service = objects
+        .services
+        .get(name)
+        .ok_or_else(|| EntryError::Service(name.to_owned()))?;
+    let path: Arc<str> = if path.starts_with('/') {
+        path.into()
+    } else {
+        format!("/{path}").into()
+    };
+    Ok((Arc::clone(service), path))
+}
+
+/// Finds who a call belongs to: a signed context goes before an API key.
+fn find_owner(node: &Node, objects: &Objects, map: &HeaderMap) -> Result<Context, EntryError> {
+    if let Some(value) = map.get(headers::CONTEXT) {
+        let value = value.to_str().map_err(|_| ContextError::Malformed)?;
+        let mut context = Context::verify(value, &node.config.context_secret)?;
+        context.depth += 1;
+        if context.depth > crate::request::context::DEPTH_MAX {
+            return Err(ContextError::TooDeep.into());
+        }
+        return Ok(context);
+    }
+    let value = map.get(AUTHORIZATION).ok_or(EntryError::NoKey)?;
+    let value = value.to_str().map_err(|_| EntryError::WrongKey)?;
+    let api_key = value.strip_prefix("Bearer ").ok_or(EntryError::NoKey)?;
+    let organisation = objects
+        .organisation_of(api_key)
+        .ok_or(EntryError::WrongKey)?;
+    Ok(Context {
+        organisation: Arc::clone(&organisation.name),
+        tier: organisation.tier,
+        depth: 0,
+    })
+}
+
+fn find_key(map: &HeaderMap) -> Result<Option<Arc<str>>, EntryError> {
+    let Some(value) = map.get(headers::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    Ok(Some(headers::parse_key(value.as_bytes())?.into()))
+}
+
+/// Drops the headers that `Connection` names (RFC 9110, section 7.6.1), and
+/// the key, which travels on its own.
+fn without_connection_options(mut map: HeaderMap) -> HeaderMap {
+    let named: Vec<String> = map
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        map.remove(name.as_str());
+    }
+    map.remove(headers::IDEMPOTENCY_KEY);
+    map
+}
+
+async fn read_body(body: HttpBody, limit_bytes: usize) -> Result<bytes::Bytes, EntryError> {
+    match timeout(BODY_LIMIT, to_bytes(body, limit_bytes)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error)) if is_length_limit(&error) => Err(EntryError::TooLarge(limit_bytes)),
+        Ok(Err(_)) | Err(_) => Err(EntryError::Body),
+    }
+}
+
+fn is_length_limit(error: &axum::Error) -> bool {
+    let source = std::error::Error::source(error);
+    source.is_some_and(<dyn std::error::Error + 'static>::is::<http_body_util::LengthLimitError>)
+}
+
+fn respond(outcome: Outcome, id: &str) -> Response {
+    let mut response = match outcome {
+        Outcome::Result(answer) => respond_result(answer),
+        Outcome::NotRun {
+            reason,
+            retry_after_ms,
+        } => {
+            let status = match reason {
+                NotRunReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            respond_mark(status, "not-run", &reason.to_string(), retry_after_ms)
+        }
+        Outcome::Unknown {
+            reason,
+            retry_after_ms,
+        } => {
+            let status = StatusCode::GATEWAY_TIMEOUT;
+            respond_mark(status, "unknown", &reason.to_string(), retry_after_ms)
+        }
+    };
+    set(&mut response, headers::CALL_ID, id);
+    response
+}
+
+fn respond_result(answer: Answer) -> Response {
+    let mut response = Response::new(HttpBody::from(answer.body.0));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    *response.headers_mut() = to_map(&answer.headers);
+    set(&mut response, headers::OUTCOME, "result");
+    set(&mut response, headers::UPSTREAM, &answer.upstream);
+    response
+}
+
+fn respond_mark(status: StatusCode, mark: &str, reason: &str, retry_after_ms: u64) -> Response {
+    let text = format!("{{\"outcome\":\"{mark}\",\"reason\":\"{reason}\"}}\n");
+    let mut response = Response::new(HttpBody::from(text));
+    *response.status_mut() = status;
+    set(&mut response, CONTENT_TYPE.as_str(), "application/json");
+    set(&mut response, headers::OUTCOME, mark);
+    set(&mut response, headers::REASON, reason);
+    set(
+        &mut response,
+        headers::RETRY_AFTER_MS,
+        &retry_after_ms.to_string(),
+    );
+    let seconds = retry_after_ms.div_ceil(1000).max(1);
+    set(&mut response, RETRY_AFTER.as_str(), &seconds.to_string());
+    response
+}
+
+fn turn_down(error: &EntryError) -> Response {
+    let mut response = Response::new(HttpBody::from(format!("{error}\n")));
+    *response.status_mut() = error.status();
+    set(&mut response, headers::OUTCOME, "not-run");
+    set(&mut response, headers::REASON, "bad-request");
+    response
+}
+
+fn set(response: &mut Response, name: &str, value: &str) {
+    let name = axum::http::HeaderName::from_bytes(name.as_bytes());
+    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/src/process/lifecycle.rs
@@ -0,0 +1,262 @@
+//! The life cycle of one upstream as its pool sees it.
+//!
+//! Each state is a type of its own that holds only what the state needs, and
+//! each transition consumes the state it leaves.
+
+use strum::Display;
+
+/// Answers per admitted call that raise a cold limit by one.
+const ANSWERS_PER_RISE: u32 = 8;
+/// Failures in a row after which an upstream is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+/// Refusals in a row after which a warm upstream counts as cold again.
+const REFUSALS_TO_COOL: u32 = 2;
+/// Slow answers in a row after which a warm upstream counts as cold again.
+const SLOW_ANSWERS_TO_COOL: u32 = 4;
+/// Length of the first ejection.
+const FIRST_EJECTION_US: u64 = 100_000;
+/// Length of the longest ejection.
+const LAST_EJECTION_US: u64 = 5_000_000;
+
+/// What one call showed about its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Signal {
+    /// It answered in the usual time.
+    Answered,
+    /// It answered far later than the other upstreams of its pool.
+    AnsweredSlowly,
+    /// It answered and reported itself as overloaded.
+    AnsweredOverloaded,
+    /// It answered with a server error.
+    Errored,
+    /// It refused before starting.
+    Refused,
+    /// The connection failed or was cut.
+    Reset,
+    /// No answer came within the run limit.
+    Silent,
+}
+
+impl Signal {
+    fn is_failure(self) -> bool {
+        matches!(self, Self::Errored | Self::Reset | Self::Silent)
+    }
+
+    fn is_refusal(self) -> bool {
+        self == Self::Refused
+    }
+}
+
+/// An upstream whose concurrency is still rising on evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cold {
+    limit: usize,
+    answers: u32,
+    failures: u32,
+    ejections: u32,
+}
+
+/// An upstream that gets all of its slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Warm {
+    failures: u32,
+    refusals: u32,
+    slow_answers: u32,
+}
+
+/// An upstream that gets nothing until a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ejected {
+    until_us: u64,
+    ejections: u32,
+}
+
+/// An upstream that gets nothing more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leaving;
+
+/// Limits that the service sets for each of its upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Calls at once when cold.
+    pub cold_slots: usize,
+    /// Calls at once when warm.
+    pub slots: usize,
+    /// Whether the pool can spare this upstream now.
+    pub may_eject: bool,
+}
+
+/// The state of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Life {
+    /// Concurrency rises on evidence.
+    Cold(Cold),
+    /// All slots in use.
+    Warm(Warm),
+    /// Nothing until a time.
+    Ejected(Ejected),
+    /// Nothing more.
+    Leaving(Leaving),
+}
+
+impl Cold {
+    fn new(limits: Limits, ejections: u32) -> Self {
+        Self {
+            limit: limits.cold_slots,
+            answers: 0,
+            failures: 0,
+            ejections,
+        }
+    }
+
+    fn on_signal(mut self, signal: Signal, now_us: u64, limits: Limits) -> Life {
+        if signal.is_failure() || signal.is_refusal() {
+            return self.on_failure(signal, now_us, limits);
+        }
+        self.failures = 0;
+        if signal != Signal::Answered {
+            return Life::Cold(self);
+        }
+        self.answers += 1;
+        let needed = ANSWERS_PER_RISE * u32::try_from(self.limit).unwrap_or(u32::MAX);
+        if self.answers < needed {
+            return Life::Cold(self);
+        }
+        self.answers = 0;
+        self.limit += 1;
+        if self.limit >= limits.slots {
+            return Life::Warm(Warm::new());
+        }
+        Life::Cold(self)
+    }
+
+    fn on_failure(mut self, signal: Signal, now_us: u64, limits: Limits) -> Life {
+        self.limit = limits.cold_slots;
+        self.answers = 0;
+        self.failures += u32::from(signal.is_failure());
+        if self.failures < FAILURES_TO_EJECT || !limits.may_eject {
+            return Life::Cold(self);
+        }
+        Life::Ejected(Ejected::new(now_us, self.ejections + 1))
+    }
+}
+
+impl Warm {
+    fn new() -> Self {
+        Self {
+            failures: 0,
+            refusals: 0,
+            slow_answers: 0,
+        }
+    }
+
+    fn on_signal(mut self, signal: Signal, now_us: u64, limits: Limits) -> Life {
+        let slow = signal == Signal::AnsweredSlowly;
+        self.failures = count_run(self.failures, signal.is_failure());
+        self.refusals = count_run(self.refusals, signal.is_refusal());
+        self.slow_answers = count_run(self.slow_answers, slow);
+        if self.failures >= FAILURES_TO_EJECT && limits.may_eject {
+            return Life::Ejected(Ejected::new(now_us, 1));
+        }
+        let is_cut = signal == Signal::Reset;
+        let is_cold =
+            self.refusals >= REFUSALS_TO_COOL || self.slow_answers >= SLOW_ANSWERS_TO_COOL;
+        if is_cut || is_cold || self.failures >= FAILURES_TO_EJECT {
+            let mut cold = Cold::new(limits, 0);
+            cold.failures = self.failures;
+            return Life::Cold(cold);
+        }
+        Life::Warm(self)
+    }
+}
+
+impl Ejected {
+    fn new(now_us: u64, ejections: u32) -> Self {
+        let doublings = ejections.saturating_sub(1).min(16);
+        let length_us = (FIRST_EJECTION_US << doublings).min(LAST_EJECTION_US);
+        Self {
+            until_us: now_us + length_us,
+            ejections,
+        }
+    }
+
+    fn on_time(self, now_us: u64, limits: Limits) -> Life {
+        if now_us < self.until_us {
+            return Life::Ejected(self);
+        }
+        Life::Cold(Cold::new(limits, self.ejections))
+    }
+}
+
+impl Life {
+    /// An upstream about which nothing is known.
+    #[must_use]
+    pub fn unknown(limits: Limits) -> Self {
+        Self::Cold(Cold::new(limits, 0))
+    }
+
+    /// An upstream that a predecessor saw warm.
+    #[must_use]
+    pub fn warm() -> Self {
+        Self::Warm(Warm::new())
+    }
+
+    /// Calls that it may run at once.
+    #[must_use]
+    pub fn limit(&self, limits: Limits) -> usize {
+        match self {
+            Self::Cold(cold) => cold.limit.min(limits.slots),
+            Self::Warm(_) => limits.slots,
+            Self::Ejected(_) | Self::Leaving(_) => 0,
+        }
+    }
+
+    /// Whether it gets nothing for now.
+    #[must_use]
+    pub fn is_ejected(&self) -> bool {
+        matches!(self, Self::Ejected(_))
+    }
+
+    /// Whether it gets nothing any more.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        matches!(self, Self::Leaving(_))
+    }
+
+    /// Whether it has all of its slots.
+    #[must_use]
+    pub fn is_warm(&self) -> bool {
+        matches!(self, Self::Warm(_))
+    }
+
+    /// The state after a call showed `signal`.
+    #[must_use]
+    pub fn on_signal(self, signal: Signal, now_us: u64, limits: Limits) -> Self {
+        match self {
+            Self::Cold(cold) => cold.on_signal(signal, now_us, limits),
+            Self::Warm(warm) => warm.on_signal(signal, now_us, limits),
+            Self::Ejected(_) | Self::Leaving(_) => self,
+        }
+    }
+
+    /// The state after time has passed.
+    #[must_use]
+    pub fn on_time(self, now_us: u64, limits: Limits) -> Self {
+        match self {
+            Self::Ejected(ejected) => ejected.on_time(now_us, limits),
+            other => other,
+        }
+    }
+
+    /// The state after the list says that it leaves.
+    #[must_use]
+    pub fn on_leave(self) -> Self {
+        Self::Leaving(Leaving)
+    }
+}
+
+fn count_run(count: u32, continues: bool) -> u32 {
+    if continues { count + 1 } else { 0 }
+}
--- /dev/null
+++ b/src/process/listing.rs
@@ -0,0 +1,68 @@
+//! Follows the platform's list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::time::sleep;
+
+use super::node::{HeldList, Node};
+use crate::connection::list::{InstanceList, ListClient, ListError, Role};
+
+/// Interval between looks at the list.
+const INTERVAL_MS: u64 = 500;
+
+/// Follows the list until the process ends.
+pub async fn follow(node: Arc<Node>) {
+    let mut client = ListClient::new(&node.config.list_url);
+    loop {
+        let answer = client.read().await;
+        let now_ms = node.clock.now_ms();
+        match answer {
+            Ok(text) => {
+                node.fence.on_contact(now_ms);
+                node.fence.on_list(now_ms, 0);
+                if let Some(text) = text {
+                    take(&node, text);
+                }
+            }
+            Err(error) => {
+                node.fence.on_look(now_ms);
+                tracing::debug!(target: "list", %error, "no list");
+            }
+        }
+        // A random part keeps instances that started together apart.
+        let pause_ms = rand::rng().random_range(INTERVAL_MS / 2..INTERVAL_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+/// Takes a copy that a peer read `age_ms` ago, if it is fresher.
+///
+/// # Errors
+/// Where the copy cannot be read.
+pub fn take_from_peer(node: &Node, text: Arc<str>, age_ms: u64) -> Result<(), ListError> {
+    let now_ms = node.clock.now_ms();
+    if age_ms >= node.fence.list_age_ms(now_ms) && node.list.load().is_some() {
+        return Ok(());
+    }
+    InstanceList::parse(&text)?;
+    node.fence.on_list(now_ms, age_ms);
+    take(node, text);
+    Ok(())
+}
+
+fn take(node: &Node, text: Arc<str>) {
+    let Ok(list) = InstanceList::parse(&text) else {
+        return;
+    };
+    let mut entries = Vec::new();
+    for instance in &list.instances {
+        if instance.role == Role::Entry && !instance.state.is_leaving() {
+            entries.push((Arc::clone(&instance.name), instance.address));
+        }
+    }
+    node.members().on_listed(node.clock.now_ms(), entries);
+    node.list.store(Some(Arc::new(HeldList { text, list })));
+    node.update_pools();
+}
--- /dev/null
+++ b/src/process/members.rs
@@ -0,0 +1,466 @@
+//! Which instances take part, and which of them holds what.
+//!
+//! Every instance works this out from what it has heard. Views differ for a
+//! while; `docs/design/membership.md` says what rests on them and what not.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Silence after which an instance no longer takes part.
+pub const SILENCE_LIMIT_MS: u64 = 5_000;
+/// Time for which earlier views still count when a key is claimed.
+pub const SETTLE_MS: u64 = 10_000;
+/// Time for which a lost instance counts towards the size of the fleet.
+const FLEET_MEMORY_MS: u64 = 60_000;
+
+/// One process of an instance; a restart makes a new incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Random number of this process.
+    pub incarnation: u64,
+    /// Data centre of the instance.
+    pub data_centre: Arc<str>,
+    /// Where it listens for other instances.
+    pub address: SocketAddr,
+}
+
+/// What one instance has heard of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hearsay {
+    /// The instance.
+    pub member: Arc<Member>,
+    /// Time since it was heard, by the teller's clock.
+    pub age_ms: u64,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
+/// The instances that take part, in order of names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    members: Vec<Arc<Member>>,
+}
+
+impl View {
+    /// A view of these instances.
+    #[must_use]
+    pub fn new(mut members: Vec<Arc<Member>>) -> Self {
+        members.sort_by(|a, b| (&a.name, a.incarnation).cmp(&(&b.name, b.incarnation)));
+        Self { members }
+    }
+
+    /// The instances.
+    #[must_use]
+    pub fn members(&self) -> &[Arc<Member>] {
+        &self.members
+    }
+
+    /// The view without one process.
+    #[must_use]
+    pub fn without(&self, member: &Member) -> Self {
+        let mut members = self.members.clone();
+        members.retain(|other| **other != *member);
+        Self { members }
+    }
+
+    /// Whether this process takes part.
+    #[must_use]
+    pub fn contains(&self, member: &Member) -> bool {
+        self.members.iter().any(|other| **other == *member)
+    }
+
+    /// The instance that holds the pool of a service in a data centre.
+    ///
+    /// An instance of that data centre, or any where it has none.
+    #[must_use]
+    pub fn holder(&self, service: &str, data_centre: &str) -> Option<&Arc<Member>> {
+        let seed = hash_words(&[service, data_centre]);
+        let is_near = |member: &&Arc<Member>| &*member.data_centre == data_centre;
+        let near = self.members.iter().filter(is_near);
+        near.max_by_key(|member| score(seed, &member.name))
+            .or_else(|| {
+                self.members
+                    .iter()
+                    .max_by_key(|member| score(seed, &member.name))
+            })
+    }
+
+    /// The two instances that must know a key before its call may run.
+    #[must_use]
+    pub fn pair(&self, key: u64) -> Vec<Arc<Member>> {
+        let mut first: Option<(u64, &Arc<Member>)> = None;
+        let mut second: Option<(u64, &Arc<Member>)> = None;
+        for member in &self.members {
+            let rank = (score(key, &member.name), member);
+            if first.is_none_or(|best| rank.0 > best.0) {
+                second = first;
+                first = Some(rank);
+            } else if second.is_none_or(|best| rank.0 > best.0) {
+                second = Some(rank);
+            }
+        }
+        let ranks = [first, second];
+        ranks
+            .into_iter()
+            .flatten()
+            .map(|(_, member)| Arc::clone(member))
+            .collect()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    member: Arc<Member>,
+    heard_ms: u64,
+    is_leaving: bool,
+}
+
+/// What this instance knows of the others.
+#[derive(Debug)]
+pub struct Members {
+    me: Arc<Member>,
+    is_leaving: bool,
+    heard: BTreeMap<Arc<str>, Heard>,
+    dead: HashSet<u64>,
+    listed: Vec<(Arc<str>, SocketAddr)>,
+    view: Arc<View>,
+    past: VecDeque<(u64, Arc<View>)>,
+    gone_ms: HashMap<u64, u64>,
+    lost: Vec<LostView>,
+}
+
+/// A view of which two processes were lost at nearly the same time.
+///
+/// Keys whose pair they were may have been run, and nobody knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostView {
+    /// The view before the losses.
+    pub view: View,
+    /// Incarnations that were lost.
+    pub lost: Vec<u64>,
+    /// Time since the losses.
+    pub age_ms: u64,
+}
+
+impl Members {
+    /// An instance that knows only itself.
+    #[must_use]
+    pub fn new(me: Arc<Member>) -> Self {
+        Self {
+            view: Arc::new(View::new(vec![Arc::clone(&me)])),
+            me,
+            is_leaving: false,
+            heard: BTreeMap::new(),
+            dead: HashSet::new(),
+            listed: Vec::new(),
+            past: VecDeque::new(),
+            gone_ms: HashMap::new(),
+            lost: Vec::new(),
+        }
+    }
+
+    /// Views that lost two processes at nearly the same time.
+    ///
+    /// Ages are relative to `now_ms`.
+    #[must_use]
+    pub fn lost_views(&self, now_ms: u64) -> Vec<LostView> {
+        let mut views = self.lost.clone();
+        for view in &mut views {
+            view.age_ms = now_ms.saturating_sub(view.age_ms);
+        }
+        views
+    }
+
+    /// Takes over the lost views that a peer tells of.
+    pub fn on_lost_views(&mut self, now_ms: u64, views: Vec<LostView>) {
+        for mut view in views {
+            view.age_ms = now_ms.saturating_sub(view.age_ms);
+            let is_known = self.lost.iter().any(|known| known.lost == view.lost);
+            if !is_known {
+                self.lost.push(view);
+            }
+        }
+    }
+
+    /// Time since both who knew a key were lost together, if they were.
+    #[must_use]
+    pub fn lost_for_ms(&self, now_ms: u64, key: u64) -> Option<u64> {
+        for lost in &self.lost {
+            let pair = lost.view.pair(key);
+            let is_lost = |member: &Arc<Member>| lost.lost.contains(&member.incarnation);
+            if !pair.is_empty() && pair.iter().all(is_lost) {
+                return Some(now_ms.saturating_sub(lost.age_ms));
+            }
+        }
+        None
+    }
+
+    /// Joins: the view without this process counts as an earlier one.
+    pub fn on_joined(&mut self, now_ms: u64) {
+        let before = self.view.without(&self.me);
+        if !before.members.is_empty() {
+            self.past.push_front((now_ms, Arc::new(before)));
+        }
+    }
+
+    /// This process.
+    #[must_use]
+    pub fn me(&self) -> &Arc<Member> {
+        &self.me
+    }
+
+    /// The instances that take part now.
+    #[must_use]
+    pub fn view(&self) -> &Arc<View> {
+        &self.view
+    }
+
+    /// Whether this process is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// The current view and those that ended less than [`SETTLE_MS`] ago.
+    #[must_use]
+    pub fn recent_views(&self, now_ms: u64) -> Vec<Arc<View>> {
+        let mut views = vec![Arc::clone(&self.view)];
+        for (ended_ms, view) in &self.past {
+            if now_ms.saturating_sub(*ended_ms) < SETTLE_MS {
+                views.push(Arc::clone(view));
+            }
+        }
+        views
+    }
+
+    /// Addresses to greet: listed and heard instances but this one.
+    #[must_use]
+    pub fn contacts(&self) -> Vec<SocketAddr> {
+        let mut contacts = Vec::new();
+        for (name, address) in &self.listed {
+            if *name != self.me.name {
+                contacts.push(*address);
+            }
+        }
+        for heard in self.heard.values() {
+            if !contacts.contains(&heard.member.address) {
+                contacts.push(heard.member.address);
+            }
+        }
+        contacts
+    }
+
+    /// Up to `most` of what to tell others, this process first.
+    #[must_use]
+    pub fn hearsay(&self, now_ms: u64, most: usize) -> Vec<Hearsay> {
+        let mut hearsay = vec![Hearsay {
+            member: Arc::clone(&self.me),
+            age_ms: 0,
+            is_leaving: self.is_leaving,
+        }];
+        let mut others: Vec<&Heard> = self.heard.values().collect();
+        others.sort_by_key(|heard| std::cmp::Reverse(heard.heard_ms));
+        for heard in others {
+            let age_ms = now_ms.saturating_sub(heard.heard_ms);
+            if hearsay.len() >= most || age_ms >= SILENCE_LIMIT_MS {
+                break;
+            }
+            hearsay.push(Hearsay {
+                member: Arc::clone(&heard.member),
+                age_ms,
+                is_leaving: heard.is_leaving,
+            });
+        }
+        hearsay
+    }
+
+    /// Whether this instance hears more than half of the fleet.
+    ///
+    /// The fleet is what the list names and what was heard within a minute.
+    #[must_use]
+    pub fn has_majority(&self, now_ms: u64) -> bool {
+        let mut names: HashSet<&str> = HashSet::new();
+        names.insert(&self.me.name);
+        for (name, _) in &self.listed {
+            names.insert(name);
+        }
+        for (name, heard) in &self.heard {
+            let is_remembered = now_ms.saturating_sub(heard.heard_ms) < FLEET_MEMORY_MS;
+            if is_remembered && !heard.is_leaving && !self.is_dead(&heard.member) {
+                names.insert(name);
+            }
+        }
+        for heard in self.heard.values() {
+            if heard.is_leaving || self.is_dead(&heard.member) {
+                names.remove(&*heard.member.name);
+            }
+        }
+        self.view.members.len() * 2 > names.len()
+    }
+
+    /// Whether a process is known to have ended.
+    #[must_use]
+    pub fn is_dead(&self, member: &Member) -> bool {
+        self.dead.contains(&member.incarnation)
+    }
+
+    /// Takes the instances that the platform's list names as live.
+    pub fn on_listed(&mut self, now_ms: u64, listed: Vec<(Arc<str>, SocketAddr)>) {
+        self.listed = listed;
+        self.renew(now_ms);
+    }
+
+    /// Takes what another instance tells; `true` if the view changed.
+    pub fn on_hearsay(&mut self, now_ms: u64, hearsay: &[Hearsay]) -> bool {
+        for told in hearsay {
+            let heard_ms = now_ms.saturating_sub(told.age_ms);
+            let is_me = told.member.name == self.me.name;
+            if is_me || self.is_dead(&told.member) {
+                continue;
+            }
+            if let Some(known) = self.heard.get_mut(&told.member.name) {
+                if known.member.incarnation == told.member.incarnation {
+                    known.heard_ms = known.heard_ms.max(heard_ms);
+                    known.is_leaving |= told.is_leaving;
+                    continue;
+                }
+                if known.heard_ms > heard_ms {
+                    continue;
+                }
+                // A second process at the same name: the first has ended.
+                self.dead.insert(known.member.incarnation);
+            }
+            let heard = Heard {
+                member: Arc::clone(&told.member),
+                heard_ms,
+                is_leaving: told.is_leaving,
+            };
+            self.heard.insert(Arc::clone(&told.member.name), heard);
+        }
+        self.renew(now_ms)
+    }
+
+    /// A connection was refused where the process listened: it has ended.
+    pub fn on_refused(&mut self, now_ms: u64, member: &Member) -> bool {
+        self.dead.insert(member.incarnation);
+        self.renew(now_ms)
+    }
+
+    /// A call and a fresh connection both got no answer.
+    pub fn on_silent(&mut self, now_ms: u64, member: &Member) -> bool {
+        if let Some(heard) = self.heard.get_mut(&member.name) {
+            heard.heard_ms = heard.heard_ms.min(now_ms.saturating_sub(SILENCE_LIMIT_MS));
+        }
+        self.renew(now_ms)
+    }
+
+    /// This process begins to leave.
+    pub fn on_leave(&mut self, now_ms: u64) {
+        self.is_leaving = true;
+        self.renew(now_ms);
+    }
+
+    /// Works the view out again; `true` if it changed.
+    pub fn renew(&mut self, now_ms: u64) -> bool {
+        let mut members = Vec::new();
+        if !self.is_leaving {
+            members.push(Arc::clone(&self.me));
+        }
+        for heard in self.heard.values() {
+            let is_silent = now_ms.saturating_sub(heard.heard_ms) >= SILENCE_LIMIT_MS;
+            if is_silent || heard.is_leaving || self.is_dead(&heard.member) {
+                continue;
+            }
+            members.push(Arc::clone(&heard.member));
+        }
+        let view = View::new(members);
+        if view == *self.view {
+            return false;
+        }
+        let old = std::mem::replace(&mut self.view, Arc::new(view));
+        self.past.push_front((now_ms, old));
+        self.past
+            .retain(|(ended_ms, _)| now_ms.saturating_sub(*ended_ms) < SETTLE_MS);
+        self.note_losses(now_ms);
+        true
+    }
+
+    /// Notes which recent views have lost two processes within the time that
+    /// records take to reach their new pairs.
+    fn note_losses(&mut self, now_ms: u64) {
+        self.gone_ms
+            .retain(|_, gone_ms| now_ms.saturating_sub(*gone_ms) < SETTLE_MS);
+        for (_, view) in &self.past {
+            for member in view.members() {
+                let has_left = self
+                    .heard
+                    .get(&member.name)
+                    .is_some_and(|heard| heard.member == *member && heard.is_leaving);
+                if !self.view.contains(member) && !has_left && *member != self.me {
+                    self.gone_ms.entry(member.incarnation).or_insert(now_ms);
+                }
+            }
+        }
+        if self.gone_ms.len() < 2 {
+            return;
+        }
+        let mut lost: Vec<u64> = self.gone_ms.keys().copied().collect();
+        lost.sort_unstable();
+        let Some((_, view)) = self.past.back() else {
+            return;
+        };
+        let found = LostView {
+            view: (**view).clone(),
+            lost,
+            age_ms: now_ms,
+        };
+        self.lost
+            .retain(|known| now_ms.saturating_sub(known.age_ms) < super::keys::RETENTION_MS);
+        if !self.lost.iter().any(|known| known.lost == found.lost) {
+            self.lost.push(found);
+        }
+    }
+}
+
+/// FNV-1a over words, alike in every process and version.
+#[must_use]
+pub fn hash_words(words: &[&str]) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for word in words {
+        hash = hash_bytes(hash, word.as_bytes());
+        hash = hash_bytes(hash, &[0xff]);
+    }
+    mix(hash)
+}
+
+/// FNV-1a over bytes, from an earlier state.
+#[must_use]
+pub fn hash_bytes(seed: u64, bytes: &[u8]) -> u64 {
+    let mut hash = seed;
+    for byte in bytes {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    }
+    hash
+}
+
+/// Start of FNV-1a with 64 bits.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Multiplier of FNV-1a with 64 bits.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// Rendezvous score of an instance for a seed.
+fn score(seed: u64, name: &str) -> u64 {
+    mix(hash_bytes(seed, name.as_bytes()))
+}
+
+/// Finaliser of `SplitMix64`.
+fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/src/process/node.rs
@@ -0,0 +1,451 @@
+//! The state that all parts of a process share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use kameo::prelude::*;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use super::choice::{Hints, PoolName};
+use super::clock::Clock;
+use super::config::Config;
+use super::decisions::{Decided, Decisions, Kind};
+use super::fence::Fence;
+use super::keys::{KeyName, Register};
+use super::members::{Member, Members, View};
+use super::metrics::{Counter, Metrics};
+use super::poison::{PoisonList, Strike};
+use super::pool::Listed;
+use super::pool_actor::{Learn, PoolActor, Start, Update};
+use crate::connection::list::{InstanceList, Role};
+use crate::connection::peer::{PeerError, Peers};
+use crate::connection::upstream::Upstreams;
+use crate::connection::wire::{Greeting, WireStrike};
+use crate::process::budget::RetryBudget;
+use crate::request::call::Call;
+use crate::request::outcome::Outcome;
+use crate::version::fold::Accepted;
+use crate::version::objects::Objects;
+
+/// Others that one greeting tells of.
+const HEARSAY_TOLD: usize = 16;
+/// Strikes that one greeting tells of.
+const STRIKES_TOLD: usize = 16;
+/// Thousandths of an attempt that a first attempt earns for retries.
+const RETRY_EARNED_MILLI: u64 = 100;
+/// Retries that an organisation has at the start.
+const RETRY_INITIAL: u64 = 10;
+/// Time in which a fresh connection to a peer must answer.
+const VERIFY_LIMIT: Duration = Duration::from_millis(200);
+
+/// A copy of the platform's list.
+#[derive(Debug)]
+pub struct HeldList {
+    /// The list's answer.
+    pub text: Arc<str>,
+    /// The same, read.
+    pub list: InstanceList,
+}
+
+/// Follows the run of a keyed call.
+pub type Following = watch::Receiver<Option<Arc<Outcome>>>;
+
+/// All that lives as long as the process.
+#[derive(Debug)]
+pub struct Node {
+    /// The settings.
+    pub config: Arc<Config>,
+    /// The process's time.
+    pub clock: Clock,
+    /// This process among the others.
+    pub me: Arc<Member>,
+    /// The set in force.
+    pub accepted: ArcSwap<Accepted>,
+    /// The copy of the list.
+    pub list: ArcSwapOption<HeldList>,
+    /// Connections to other instances.
+    pub peers: Peers,
+    /// Connections to upstreams.
+    pub upstreams: Upstreams,
+    /// Whether new work may start.
+    pub fence: Fence,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Recent decisions.
+    pub decisions: Decisions,
+    /// Wakes the greeter before its time.
+    pub greet_now: Notify,
+    /// Wakes those who follow the view, the list or the objects.
+    pub changed: watch::Sender<u64>,
+    members: Mutex<Members>,
+    hints: Mutex<Hints>,
+    register: Mutex<Register>,
+    following: Mutex<HashMap<KeyName, Following>>,
+    pools: Mutex<HashMap<PoolName, ActorRef<PoolActor>>>,
+    retries: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    poison: Mutex<PoisonList>,
+    tickets: AtomicU64,
+    doubt_until_ms: AtomicU64,
+    is_joined: AtomicBool,
+    is_stopping: AtomicBool,
+}
+
+impl Node {
+    /// The state of a process that has just started.
+    #[must_use]
+    pub fn new(config: Arc<Config>, metrics: Metrics) -> Arc<Self> {
+        let me = Arc::new(Member {
+            name: Arc::clone(&config.name),
+            incarnation: rand::random(),
+            data_centre: Arc::clone(&config.data_centre),
+            address: config.peer_address,
+        });
+        Arc::new(Self {
+            config,
+            clock: Clock::start(),
+            accepted: ArcSwap::from_pointee(Accepted::none()),
+            list: ArcSwapOption::empty(),
+            peers: Peers::default(),
+            upstreams: Upstreams::default(),
+            fence: Fence::default(),
+            metrics,
+            decisions: Decisions::default(),
+            greet_now: Notify::new(),
+            changed: watch::Sender::new(0),
+            members: Mutex::new(Members::new(Arc::clone(&me))),
+            hints: Mutex::default(),
+            register: Mutex::default(),
+            following: Mutex::default(),
+            pools: Mutex::default(),
+            retries: Mutex::default(),
+            poison: Mutex::default(),
+            tickets: AtomicU64::new(0),
+            doubt_until_ms: AtomicU64::new(0),
+            is_joined: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            me,
+        })
+    }
+
+    /// The objects in force.
+    #[must_use]
+    pub fn objects(&self) -> Arc<Objects> {
+        Arc::clone(&self.accepted.load().objects)
+    }
+
+    /// What is known of the other instances.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// The instances that take part now.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(self.members().view())
+    }
+
+    /// What pools told of their waits.
+    pub fn hints(&self) -> MutexGuard<'_, Hints> {
+        lock(&self.hints)
+    }
+
+    /// The keys that this instance knows.
+    pub fn register(&self) -> MutexGuard<'_, Register> {
+        lock(&self.register)
+    }
+
+    /// Keyed calls that run from here.
+    pub fn following(&self) -> MutexGuard<'_, HashMap<KeyName, Following>> {
+        lock(&self.following)
+    }
+
+    /// The pools that have an actor here.
+    #[must_use]
+    pub fn pools(&self) -> Vec<(PoolName, ActorRef<PoolActor>)> {
+        let pools = lock(&self.pools);
+        let mut found = Vec::with_capacity(pools.len());
+        for (name, actor) in pools.iter() {
+            found.push((name.clone(), actor.clone()));
+        }
+        found
+    }
+
+    /// The actor of a pool, if it has one here.
+    #[must_use]
+    pub fn pool(&self, name: &PoolName) -> Option<ActorRef<PoolActor>> {
+        lock(&self.pools).get(name).cloned()
+    }
+
+    /// Starts the actor of a pool; `true` if it is new.
+    #[must_use]
+    pub fn start_pool(self: &Arc<Self>, name: &PoolName) -> Option<(ActorRef<PoolActor>, bool)> {
+        let objects = self.objects();
+        let service = objects.services.get(&name.service)?;
+        let mut pools = lock(&self.pools);
+        if let Some(actor) = pools.get(name) {
+            return Some((actor.clone(), false));
+        }
+        let start = Start {
+            name: name.clone(),
+            service: Arc::clone(service),
+            node: Arc::downgrade(self),
+        };
+        let actor = PoolActor::spawn_with_mailbox(start, mailbox::unbounded());
+        let update = Update {
+            service: Arc::clone(service),
+            listed: self.listed(name),
+        };
+        let _ = actor.tell(update).try_send();
+        pools.insert(name.clone(), actor.clone());
+        Some((actor, true))
+    }
+
+    /// The upstreams of a pool as the copy of the list names them.
+    ///
+    /// A data centre that is out has none that take work.
+    #[must_use]
+    pub fn listed(&self, name: &PoolName) -> Vec<Listed> {
+        let is_out = !self.objects().takes_work(&name.data_centre);
+        let mut listed = Vec::new();
+        let Some(held) = self.list.load_full() else {
+            return listed;
+        };
+        for instance in &held.list.instances {
+            let is_fit = instance.role == Role::Upstream
+                && instance.data_centre == name.data_centre
+                && instance.service.as_ref() == Some(&name.service);
+            if !is_fit {
+                continue;
+            }
+            listed.push(Listed {
+                name: Arc::clone(&instance.name),
+                address: instance.address,
+                is_leaving: instance.state.is_leaving() || is_out,
+            });
+        }
+        listed
+    }
+
+    /// Tells all pools what the list and the objects say now.
+    pub fn update_pools(&self) {
+        let objects = self.objects();
+        for (name, actor) in self.pools() {
+            let Some(service) = objects.services.get(&name.service) else {
+                continue;
+            };
+            let update = Update {
+                service: Arc::clone(service),
+                listed: self.listed(&name),
+            };
+            let _ = actor.tell(update).try_send();
+        }
+        self.announce();
+    }
+
+    /// Wakes those who follow the view, the list or the objects.
+    pub fn announce(&self) {
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// A number that identifies a call within this process.
+    #[must_use]
+    pub fn next_ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether new work may be sent to upstreams.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        self.fence.may_send(self.clock.now_ms())
+    }
+
+    /// Whether callers may be served here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let has_set = self.accepted.load().version > 0;
+        has_set && self.is_joined() && !self.is_stopping() && self.may_send()
+    }
+
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this process knows what the others know.
+    #[must_use]
+    pub fn is_joined(&self) -> bool {
+        self.is_joined.load(Ordering::Relaxed)
+    }
+
+    /// From here on this process takes part.
+    ///
+    /// For `doubt_ms` from now, records of keys from before may be missing.
+    pub fn set_joined(&self, doubt_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        self.doubt_until_ms
+            .store(now_ms + doubt_ms, Ordering::Relaxed);
+        self.is_joined.store(true, Ordering::Relaxed);
+    }
+
+    /// Time for which records of keys from before may still be missing.
+    #[must_use]
+    pub fn doubt_ms(&self) -> u64 {
+        let until_ms = self.doubt_until_ms.load(Ordering::Relaxed);
+        until_ms.saturating_sub(self.clock.now_ms())
+    }
+
+    /// Counts a first attempt of an organisation.
+    pub fn earn_retry(&self, organisation: &Arc<str>) {
+        let mut retries = lock(&self.retries);
+        let budget = retries.entry(Arc::clone(organisation));
+        budget.or_insert_with(new_retry_budget).earn();
+    }
+
+    /// Takes one repeated attempt from an organisation's budget.
+    #[must_use]
+    pub fn take_retry(&self, organisation: &Arc<str>) -> bool {
+        let mut retries = lock(&self.retries);
+        let budget = retries.entry(Arc::clone(organisation));
+        budget.or_insert_with(new_retry_budget).take()
+    }
+
+    /// Logs a decision on a call.
+    pub fn note(&self, kind: Kind, call: &Call, target: &Arc<str>, reason: impl Into<Arc<str>>) {
+        self.decisions.note(Decided {
+            at_ms: self.clock.now_ms(),
+            kind,
+            call: Arc::clone(&call.id),
+            service: Arc::clone(&call.service),
+            target: Arc::clone(target),
+            reason: reason.into(),
+        });
+    }
+
+    /// Learns strikes, and tells all pools and peers of new ones.
+    pub fn on_strikes(&self, strikes: &[Strike]) {
+        let now_us = self.clock.now_us();
+        let mut news = Vec::new();
+        {
+            let mut poison = lock(&self.poison);
+            for strike in strikes {
+                if strike.strikes > poison.strikes(strike.fingerprint, now_us) {
+                    poison.learn(strike.fingerprint, strike.strikes, now_us);
+                    news.push(*strike);
+                }
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        for (_, actor) in self.pools() {
+            let _ = actor.tell(Learn(news.clone())).try_send();
+        }
+        self.greet_now.notify_one();
+    }
+
+    /// What this instance tells others.
+    #[must_use]
+    pub fn greeting(&self) -> Greeting {
+        let now_ms = self.clock.now_ms();
+        let strikes = lock(&self.poison).recent(self.clock.now_us(), STRIKES_TOLD);
+        let mut hearsay = self.members().hearsay(now_ms, HEARSAY_TOLD);
+        if !self.is_joined() {
+            // Not yet part of the fleet: others must not count on it.
+            hearsay.remove(0);
+        }
+        Greeting {
+            hearsay,
+            version: self.accepted.load().version,
+            list_age_ms: self
+                .list
+                .load()
+                .as_ref()
+                .map(|_| self.fence.list_age_ms(now_ms)),
+            strikes: strikes.into_iter().map(to_wire).collect(),
+        }
+    }
+
+    /// Takes what another instance tells.
+    pub fn on_greeting(&self, greeting: &Greeting) {
+        let now_ms = self.clock.now_ms();
+        if self.members().on_hearsay(now_ms, &greeting.hearsay) {
+            self.on_view_changed();
+        }
+        let mut strikes = Vec::with_capacity(greeting.strikes.len());
+        for strike in &greeting.strikes {
+            strikes.push(Strike {
+                fingerprint: strike.fingerprint,
+                strikes: strike.strikes,
+            });
+        }
+        self.on_strikes(&strikes);
+    }
+
+    /// Logs a new view and wakes those who follow it.
+    pub fn on_view_changed(&self) {
+        let view = self.view();
+        self.metrics.count(Counter::ViewChanges);
+        let names: Vec<&str> = view.members().iter().map(|member| &*member.name).collect();
+        tracing::info!(target: "membership", members = ?names, "the view changed");
+        self.announce();
+    }
+
+    /// Finds out what became of a peer that gave no answer.
+    pub async fn verify(&self, member: &Arc<Member>, error: &PeerError) {
+        let mut is_refused = error.is_refused();
+        let mut is_silent = matches!(error, PeerError::Unreachable(_));
+        if !is_refused && !is_silent {
+            // A fresh connection tells a silent connection from a lost peer.
+            self.peers.forget(member.address);
+            let deadline = Instant::now() + VERIFY_LIMIT;
+            let greeting = self.greeting();
+            let answer = self
+                .peers
+                .call(member.address, deadline, |client, context| async move {
+                    client.greet(context, greeting).await
+                })
+                .await;
+            match answer {
+                Ok(answer) => self.on_greeting(&answer),
+                Err(error) if error.is_refused() => is_refused = true,
+                Err(_) => is_silent = true,
+            }
+        }
+        let now_ms = self.clock.now_ms();
+        let mut is_changed = false;
+        if is_refused {
+            is_changed = self.members().on_refused(now_ms, member);
+        } else if is_silent {
+            is_changed = self.members().on_silent(now_ms, member);
+        }
+        if is_changed {
+            tracing::info!(target: "membership", member = %member.name, is_refused, "lost");
+            self.on_view_changed();
+        }
+    }
+}
+
+fn new_retry_budget() -> RetryBudget {
+    RetryBudget::new(RETRY_EARNED_MILLI, RETRY_INITIAL)
+}
+
+fn to_wire(strike: Strike) -> WireStrike {
+    WireStrike {
+        fingerprint: strike.fingerprint,
+        strikes: strike.strikes,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/process/peer_server.rs
@@ -0,0 +1,159 @@
+//! Serves other instances.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::{Stream, StreamExt};
+use tarpc::context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel, Config as ChannelConfig};
+use tarpc::tokio_serde::formats::Bincode;
+
+use super::choice::PoolName;
+use super::holder;
+use super::keyed;
+use super::keys::{Claim, KeyRecord};
+use super::members::Member;
+use super::node::Node;
+use crate::connection::wire::{
+    CALLS_PER_CONNECTION, ClaimRequest, FRAME_LIMIT_BYTES, Greeting, Lesson, Peer, Ran, Released,
+    Run, Settlement, Snapshot,
+};
+use crate::request::call::Call;
+use crate::request::outcome::Outcome;
+
+#[derive(Clone)]
+struct PeerServer {
+    node: Arc<Node>,
+}
+
+impl Peer for PeerServer {
+    async fn greet(self, _: context::Context, greeting: Greeting) -> Greeting {
+        if !greeting.hearsay.is_empty() {
+            self.node.fence.on_contact(self.node.clock.now_ms());
+        }
+        self.node.on_greeting(&greeting);
+        self.node.greeting()
+    }
+
+    async fn run(self, _: context::Context, run: Run) -> Ran {
+        holder::run_here(&self.node, &run).await
+    }
+
+    async fn run_keyed(self, _: context::Context, call: Arc<Call>) -> Outcome {
+        keyed::on_keyed(&self.node, &call).await
+    }
+
+    async fn claim(self, _: context::Context, request: ClaimRequest) -> Claim {
+        keyed::on_claim(&self.node, &request)
+    }
+
+    async fn settle(self, _: context::Context, settlement: Settlement) {
+        keyed::on_settlement(&self.node, &settlement);
+    }
+
+    async fn teach(self, _: context::Context, records: Vec<KeyRecord>) {
+        let now_ms = self.node.clock.now_ms();
+        let mut register = self.node.register();
+        for record in &records {
+            register.learn(now_ms, record);
+        }
+    }
+
+    async fn join(self, _: context::Context, member: Arc<Member>) -> Lesson {
+        tracing::info!(target: "membership", member = %member.name, "joins");
+        let now_ms = self.node.clock.now_ms();
+        let lost_views = self.node.members().lost_views(now_ms);
+        let records = self.node.register().records(now_ms);
+        Lesson {
+            records,
+            lost_views,
+            doubt_ms: self.node.doubt_ms(),
+        }
+    }
+
+    async fn release(self, _: context::Context, pool: PoolName) -> Released {
+        holder::release(&self.node, &pool).await
+    }
+
+    async fn snapshot(self, _: context::Context) -> Snapshot {
+        let accepted = self.node.accepted.load_full();
+        let now_ms = self.node.clock.now_ms();
+        let list = self.node.list.load_full();
+        Snapshot {
+            version: accepted.version,
+            id: Arc::clone(&accepted.id),
+            author: Arc::clone(&accepted.author),
+            text: Arc::clone(&accepted.text),
+            list: list.map(|held| Arc::clone(&held.text)),
+            list_age_ms: self.node.fence.list_age_ms(now_ms),
+        }
+    }
+}
+
+/// Listens for other instances.
+///
+/// # Errors
+/// Where the address cannot be bound.
+pub async fn listen(node: Arc<Node>, address: SocketAddr) -> std::io::Result<()> {
+    let mut incoming = tcp::listen(address, Bincode::default).await?;
+    incoming.config_mut().max_frame_length(FRAME_LIMIT_BYTES);
+    tokio::spawn(accept(node, incoming));
+    Ok(())
+}
+
+async fn accept<S, T>(node: Arc<Node>, mut incoming: S)
+where
+    S: Stream<Item = std::io::Result<T>> + Unpin,
+    T: PeerTransport,
+{
+    while let Some(transport) = incoming.next().await {
+        let Ok(transport) = transport else {
+            continue;
+        };
+        transport.send_at_once();
+        let config = ChannelConfig {
+            pending_response_buffer: CALLS_PER_CONNECTION,
+        };
+        let channel = BaseChannel::new(config, transport);
+        let server = PeerServer {
+            node: Arc::clone(&node),
+        };
+        tokio::spawn(
+            channel
+                .execute(server.serve())
+                .for_each(|answer| async move {
+                    tokio::spawn(answer);
+                }),
+        );
+    }
+}
+
+trait PeerTransport:
+    tarpc::Transport<
+        tarpc::Response<crate::connection::wire::PeerResponse>,
+        tarpc::ClientMessage<crate::connection::wire::PeerRequest>,
+    > + Send
+    + 'static
+{
+    /// Sends small frames without waiting for acknowledgements of earlier ones.
+    fn send_at_once(&self);
+}
+
+type TcpPeerTransport = tarpc::serde_transport::Transport<
+    tokio::net::TcpStream,
+    tarpc::ClientMessage<crate::connection::wire::PeerRequest>,
+    tarpc::Response<crate::connection::wire::PeerResponse>,
+    Bincode<
+        tarpc::ClientMessage<crate::connection::wire::PeerRequest>,
+        tarpc::Response<crate::connection::wire::PeerResponse>,
+    >,
+>;
+
+impl PeerTransport for TcpPeerTransport {
+    fn send_at_once(&self) {
+        if let Err(error) = self.get_ref().set_nodelay(true) {
+            tracing::debug!(%error, "a peer's connection keeps its delay");
+        }
+    }
+}
--- /dev/null
+++ b/src/process/placement.rs
@@ -0,0 +1,240 @@
+//! Brings a call to the holder of a pool, and again where that is allowed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::choice::PoolName;
+use super::clock::remaining_us;
+use super::decisions::Kind;
+use super::holder::run_here;
+use super::members::Member;
+use super::metrics::Counter;
+use super::node::Node;
+use crate::connection::peer::PeerError;
+use crate::connection::wire::{Ran, Run};
+use crate::request::attempt::{Attempt, Held};
+use crate::request::call::Call;
+use crate::request::outcome::{NotRunReason, Outcome, UnknownReason};
+
+/// Rounds in which a call may look for a pool.
+const ROUNDS_MAX: usize = 12;
+/// Pools that may turn a call down before it is given up.
+const SPILLS_MAX: usize = 1;
+/// Attempts of a call that may be repeated.
+const ATTEMPTS_MAX: usize = 3;
+/// Pause for the view to change where no pool has a reachable holder.
+const VIEW_PAUSE: Duration = Duration::from_millis(25);
+/// Time that a holder may take beyond the call's own deadline to confirm.
+const CONFIRM: Duration = Duration::from_millis(50);
+
+struct Placing<'n> {
+    node: &'n Arc<Node>,
+    deadline: Instant,
+    tried: Vec<(PoolName, u64)>,
+    avoid: Option<Arc<str>>,
+    spills: usize,
+    attempts: usize,
+}
+
+enum Step {
+    Over(Outcome),
+    Next(Attempt<Held>),
+}
+
+/// Brings a call to an upstream and returns how it ended.
+pub async fn place(node: &Arc<Node>, call: Arc<Call>, deadline: Instant) -> Outcome {
+    node.earn_retry(&call.organisation);
+    let mut placing = Placing {
+        node,
+        deadline,
+        tried: Vec::new(),
+        avoid: call.avoid.clone(),
+        spills: 0,
+        attempts: 0,
+    };
+    let mut attempt = Attempt::new(call);
+    for _ in 0..ROUNDS_MAX {
+        if Instant::now() >= deadline {
+            return attempt.give_up(NotRunReason::DeadlinePassed, 0);
+        }
+        attempt = match placing.round(attempt).await {
+            Step::Over(outcome) => return outcome,
+            Step::Next(held) => held,
+        };
+    }
+    attempt.give_up(NotRunReason::NoHolder, retry_after_ms(VIEW_PAUSE))
+}
+
+impl Placing<'_> {
+    async fn round(&mut self, attempt: Attempt<Held>) -> Step {
+        let node = self.node;
+        let objects = node.objects();
+        let Some(service) = objects.services.get(&attempt.call().service) else {
+            return Step::Over(attempt.give_up(NotRunReason::NoService, 0));
+        };
+        let mut pools = Vec::with_capacity(service.data_centres.len());
+        for data_centre in &service.data_centres {
+            if objects.takes_work(data_centre) {
+                pools.push(PoolName {
+                    service: Arc::clone(&service.name),
+                    data_centre: Arc::clone(data_centre),
+                });
+            }
+        }
+        if pools.is_empty() {
+            let after_ms = service.run_limit_ms;
+            return Step::Over(attempt.give_up(NotRunReason::NoUpstream, after_ms));
+        }
+        let view = node.view();
+        pools.retain(|pool| {
+            view.holder(&pool.service, &pool.data_centre)
+                .is_some_and(|holder| !self.has_tried(pool, holder))
+        });
+        let chosen = {
+            let home = &node.config.data_centre;
+            let now_us = node.clock.now_us();
+            node.hints().choose(now_us, &pools, home, &mut rand::rng())
+        };
+        let holder = chosen
+            .as_ref()
+            .and_then(|pool| view.holder(&pool.service, &pool.data_centre));
+        let (Some(pool), Some(holder)) = (chosen.as_ref(), holder) else {
+            sleep(VIEW_PAUSE).await;
+            return Step::Next(attempt);
+        };
+        self.bring(attempt, pool, holder).await
+    }
+
+    fn has_tried(&self, pool: &PoolName, holder: &Member) -> bool {
+        let incarnation = holder.incarnation;
+        let is_same = |tried: &(PoolName, u64)| tried.0 == *pool && tried.1 == incarnation;
+        self.tried.iter().any(is_same)
+    }
+
+    async fn bring(
+        &mut self,
+        attempt: Attempt<Held>,
+        pool: &PoolName,
+        holder: &Arc<Member>,
+    ) -> Step {
+        let node = self.node;
+        node.note(
+            Kind::Route,
+            attempt.call(),
+            &pool.data_centre,
+            &*holder.name,
+        );
+        node.hints().on_sent(pool);
+        let mut call = Call::clone(attempt.call());
+        call.remaining_us = remaining_us(self.deadline);
+        call.avoid = self.avoid.clone();
+        let run = Run {
+            pool: pool.clone(),
+            call: Arc::new(call),
+        };
+        let sent = attempt.send();
+        let answer = self.exchange(run, holder).await;
+        let now_us = node.clock.now_us();
+        match answer {
+            Ok(ran) if ran.is_elsewhere => {
+                node.hints().on_answered(now_us, pool, 0);
+                self.tried.push((pool.clone(), holder.incarnation));
+                Step::Next(sent.refused())
+            }
+            Ok(ran) => {
+                node.hints().on_answered(now_us, pool, ran.wait_us);
+                match ran.outcome {
+                    Outcome::Result(answer) => Step::Over(sent.answered(answer)),
+                    Outcome::NotRun {
+                        reason,
+                        retry_after_ms,
+                    } => {
+                        self.tried.push((pool.clone(), holder.incarnation));
+                        self.spill(sent.refused(), reason, retry_after_ms)
+                    }
+                    Outcome::Unknown { reason, .. } => {
+                        self.avoid = ran.upstream;
+                        match sent.lost(reason) {
+                            Ok(held) => self.retry(held, reason),
+                            Err(outcome) => Step::Over(outcome),
+                        }
+                    }
+                }
+            }
+            Err(error) => {
+                node.hints().on_failed(now_us, pool);
+                self.tried.push((pool.clone(), holder.incarnation));
+                node.verify(holder, &error).await;
+                if error.is_unsent() {
+                    return Step::Next(sent.refused());
+                }
+                match sent.lost(UnknownReason::HolderLost) {
+                    Ok(held) => self.retry(held, UnknownReason::HolderLost),
+                    Err(outcome) => Step::Over(outcome),
+                }
+            }
+        }
+    }
+
+    async fn exchange(&self, run: Run, holder: &Member) -> Result<Ran, PeerError> {
+        if *holder == *self.node.me {
+            return Ok(run_here(self.node, &run).await);
+        }
+        let until = self.deadline + CONFIRM;
+        let peers = &self.node.peers;
+        peers
+            .call(holder.address, until, |client, context| async move {
+                client.run(context, run).await
+            })
+            .await
+    }
+
+    /// Goes on with another pool after one turned the call down.
+    fn spill(&mut self, held: Attempt<Held>, reason: NotRunReason, retry_after_ms: u64) -> Step {
+        let is_local = matches!(
+            reason,
+            NotRunReason::Overloaded
+                | NotRunReason::NoUpstream
+                | NotRunReason::Refused
+                | NotRunReason::Isolated
+        );
+        let has_other = self.has_other(&held);
+        if !is_local || self.spills == SPILLS_MAX || !has_other {
+            return Step::Over(held.give_up(reason, retry_after_ms));
+        }
+        self.spills += 1;
+        Step::Next(held)
+    }
+
+    /// Whether a pool is left that has not turned the call down.
+    fn has_other(&self, held: &Attempt<Held>) -> bool {
+        let objects = self.node.objects();
+        let Some(service) = objects.services.get(&held.call().service) else {
+            return false;
+        };
+        let is_tried =
+            |name: &Arc<str>| self.tried.iter().any(|tried| tried.0.data_centre == *name);
+        let mut places = service.data_centres.iter();
+        places.any(|name| objects.takes_work(name) && !is_tried(name))
+    }
+
+    /// Attempts a call again that may be repeated, within the budgets.
+    fn retry(&mut self, held: Attempt<Held>, reason: UnknownReason) -> Step {
+        self.attempts += 1;
+        let organisation = &held.call().organisation;
+        if self.attempts == ATTEMPTS_MAX || !self.node.take_retry(organisation) {
+            return Step::Over(Outcome::unknown(reason, retry_after_ms(VIEW_PAUSE)));
+        }
+        self.node.metrics.count(Counter::Retries);
+        let avoided = self.avoid.clone().unwrap_or_default();
+        self.node
+            .note(Kind::Retry, held.call(), &avoided, reason.to_string());
+        Step::Next(held)
+    }
+}
+
+fn retry_after_ms(pause: Duration) -> u64 {
+    u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/process/pool_actor.rs
@@ -0,0 +1,407 @@
+//! The actor that owns a pool and carries its decisions out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use kameo::prelude::*;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::choice::PoolName;
+use super::metrics::{Counter, Timer};
+use super::node::Node;
+use super::poison::Strike;
+use super::pool::{
+    Decision, Ended, Event, Inherited, Listed, Pool, RefuseReason, SendReason, UpstreamView,
+};
+use super::queue::{Ticket, Waiting};
+use crate::connection::wire::ReleasedUpstream;
+use crate::version::objects::Service;
+
+/// Interval between ticks of a pool.
+const TICK: Duration = Duration::from_millis(25);
+/// Strikes that a pool tells the process at once.
+const STRIKES_TOLD: usize = 64;
+
+/// Where a call goes.
+#[derive(Debug)]
+pub enum Placed {
+    /// To this upstream, which has a slot for it.
+    Send(Slot),
+    /// Nowhere; it has not run.
+    Refused {
+        /// Why.
+        reason: RefuseReason,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// A slot of an upstream, held until it is dropped or reported.
+#[derive(Debug)]
+pub struct Slot {
+    /// Name of the upstream.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Why this one.
+    pub reason: SendReason,
+    /// Wait of a new call of the same kind.
+    pub wait_us: u64,
+    ended: Ended,
+    sent: Instant,
+    pool: ActorRef<PoolActor>,
+}
+
+impl Slot {
+    /// Gives the slot back with what the call showed.
+    pub fn end(mut self, signal: Option<super::lifecycle::Signal>) {
+        self.ended.signal = signal;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let took = self.sent.elapsed().as_micros();
+        self.ended.took_us = u64::try_from(took).unwrap_or(u64::MAX);
+        // The mailbox is unbounded: this fails only when the pool is gone.
+        let _ = self.pool.tell(End(self.ended)).try_send();
+    }
+}
+
+/// Owns one pool.
+#[derive(Debug)]
+pub struct PoolActor {
+    name: PoolName,
+    pool: Pool,
+    node: Weak<Node>,
+    replies: HashMap<Ticket, oneshot::Sender<Placed>>,
+    decisions: Vec<Decision>,
+}
+
+/// What a pool actor starts with.
+#[derive(Debug)]
+pub struct Start {
+    /// The pool.
+    pub name: PoolName,
+    /// The service's settings.
+    pub service: Arc<Service>,
+    /// The process.
+    pub node: Weak<Node>,
+}
+
+impl Actor for PoolActor {
+    type Args = Start;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(start: Start, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+        let now_us = start.node.upgrade().map_or(0, |node| node.clock.now_us());
+        let weak = actor.downgrade();
+        tokio::spawn(async move {
+            let mut ticks = interval(TICK);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                let Some(actor) = weak.upgrade() else {
+                    return;
+                };
+                if actor.tell(Tick).try_send().is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Self {
+            pool: Pool::new(start.service, now_us),
+            name: start.name,
+            node: start.node,
+            replies: HashMap::new(),
+            decisions: Vec::new(),
+        })
+    }
+}
+
+impl PoolActor {
+    fn handle_event(&mut self, event: Event, actor: &ActorRef<Self>) {
+        let Some(node) = self.node.upgrade() else {
+            return;
+        };
+        let now_us = node.clock.now_us();
+        self.pool.handle(now_us, event, &mut self.decisions);
+        self.carry_out(&node, actor);
+    }
+
+    fn carry_out(&mut self, node: &Arc<Node>, actor: &ActorRef<Self>) {
+        for decision in std::mem::take(&mut self.decisions) {
+            match decision {
+                Decision::Send {
+                    waiting,
+                    upstream,
+                    reason,
+                } => self.send(node, actor, &waiting, upstream, reason),
+                Decision::Refuse {
+                    waiting,
+                    reason,
+                    retry_after_ms,
+                } => self.refuse(node, &waiting, reason, retry_after_ms),
+                Decision::Probe { upstream } => self.probe(node, actor, upstream),
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        node: &Arc<Node>,
+        actor: &ActorRef<Self>,
+        waiting: &Waiting,
+        upstream: usize,
+        reason: SendReason,
+    ) {
+        let (name, address) = self.pool.upstream(upstream);
+        let slot = Slot {
+            name: Arc::clone(name),
+            address,
+            reason,
+            wait_us: self
+                .pool
+                .expected_wait_us(waiting.tier, &waiting.organisation),
+            ended: Ended {
+                upstream,
+                signal: None,
+                took_us: 0,
+                tier: waiting.tier,
+                fingerprint: waiting.fingerprint,
+            },
+            sent: Instant::now(),
+            pool: actor.clone(),
+        };
+        let queued_us = node.clock.now_us().saturating_sub(waiting.arrived_us);
+        node.metrics.time(Timer::QueueUs, queued_us);
+        node.metrics.count(Counter::Sends);
+        if let Some(reply) = self.replies.remove(&waiting.ticket) {
+            // A caller that is gone drops the slot, which gives it back.
+            let _ = reply.send(Placed::Send(slot));
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        node: &Node,
+        waiting: &Waiting,
+        reason: RefuseReason,
+        retry_after_ms: u64,
+    ) {
+        node.metrics.count(Counter::Refusals);
+        if let Some(reply) = self.replies.remove(&waiting.ticket) {
+            let _ = reply.send(Placed::Refused {
+                reason,
+                retry_after_ms,
+            });
+        }
+    }
+
+    fn probe(&self, node: &Arc<Node>, actor: &ActorRef<Self>, upstream: usize) {
+        node.metrics.count(Counter::Probes);
+        let (_, address) = self.pool.upstream(upstream);
+        let node = Arc::clone(node);
+        let actor = actor.clone();
+        let service = Arc::clone(&self.name.service);
+        tokio::spawn(async move {
+            let objects = node.objects();
+            let Some(service) = objects.services.get(&service) else {
+                return;
+            };
+            let until = Instant::now() + Duration::from_millis(service.run_limit_ms);
+            let path = Arc::clone(&service.health_path);
+            let healthy = node.upstreams.probe(address, &path, until).await;
+            let _ = actor.tell(Probed { upstream, healthy }).try_send();
+        });
+    }
+}
+
+/// A call that wants a slot.
+#[derive(Debug)]
+pub struct Submit {
+    /// The call.
+    pub waiting: Waiting,
+    /// Upstream that an earlier attempt used.
+    pub avoid: Option<Arc<str>>,
+    /// Where the decision goes.
+    pub reply: oneshot::Sender<Placed>,
+}
+
+impl Message<Submit> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Submit, context: &mut Context<Self, ()>) {
+        let mut waiting = message.waiting;
+        if let Some(name) = &message.avoid {
+            waiting.avoid = self.pool.index_of(name);
+        }
+        self.replies.insert(waiting.ticket, message.reply);
+        self.handle_event(Event::Arrived(waiting), &context.actor_ref().clone());
+    }
+}
+
+/// The caller of a call no longer waits.
+#[derive(Debug)]
+pub struct Withdraw(pub Waiting);
+
+impl Message<Withdraw> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Withdraw, context: &mut Context<Self, ()>) {
+        self.handle_event(Event::Withdrawn(message.0), &context.actor_ref().clone());
+    }
+}
+
+struct End(Ended);
+
+impl Message<End> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: End, context: &mut Context<Self, ()>) {
+        let was_cut = message.0.signal == Some(super::lifecycle::Signal::Reset);
+        self.handle_event(Event::Ended(message.0), &context.actor_ref().clone());
+        if let Some(node) = self.node.upgrade().filter(|_| was_cut) {
+            node.on_strikes(&self.pool.strikes(node.clock.now_us(), STRIKES_TOLD));
+        }
+    }
+}
+
+struct Probed {
+    upstream: usize,
+    healthy: bool,
+}
+
+impl Message<Probed> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Probed, context: &mut Context<Self, ()>) {
+        let event = Event::Probed {
+            upstream: message.upstream,
+            healthy: message.healthy,
+        };
+        self.handle_event(event, &context.actor_ref().clone());
+    }
+}
+
+struct Tick;
+
+impl Message<Tick> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        self.handle_event(Event::Tick, &context.actor_ref().clone());
+    }
+}
+
+/// What the list and the objects say of the pool now.
+#[derive(Debug)]
+pub struct Update {
+    /// The service's settings.
+    pub service: Arc<Service>,
+    /// Its upstreams in the data centre.
+    pub listed: Vec<Listed>,
+}
+
+impl Message<Update> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Update, context: &mut Context<Self, ()>) {
+        self.pool.configure(message.service);
+        self.handle_event(Event::Listed(message.listed), &context.actor_ref().clone());
+    }
+}
+
+/// What a predecessor may still run.
+#[derive(Debug)]
+pub struct Inherit(pub Inherited);
+
+impl Message<Inherit> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Inherit, context: &mut Context<Self, ()>) {
+        self.handle_event(Event::Inherited(message.0), &context.actor_ref().clone());
+    }
+}
+
+/// Strikes that peers counted.
+#[derive(Debug)]
+pub struct Learn(pub Vec<Strike>);
+
+impl Message<Learn> for PoolActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Learn, context: &mut Context<Self, ()>) {
+        self.handle_event(Event::Strikes(message.0), &context.actor_ref().clone());
+    }
+}
+
+/// Sends again after the pool was given up; `true` if it had been.
+#[derive(Debug)]
+pub struct Reopen;
+
+impl Message<Reopen> for PoolActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: Reopen, _: &mut Context<Self, bool>) -> bool {
+        let was_closed = self.pool.is_closed();
+        self.pool.reopen();
+        was_closed
+    }
+}
+
+/// Gives the pool up.
+#[derive(Debug)]
+pub struct Release;
+
+impl Message<Release> for PoolActor {
+    type Reply = Vec<ReleasedUpstream>;
+
+    async fn handle(
+        &mut self,
+        _: Release,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> Vec<ReleasedUpstream> {
+        self.pool.close(&mut self.decisions);
+        let actor = context.actor_ref().clone();
+        if let Some(node) = self.node.upgrade() {
+            self.carry_out(&node, &actor);
+        }
+        let mut upstreams = Vec::new();
+        for view in self.pool.view() {
+            upstreams.push(ReleasedUpstream {
+                name: view.name,
+                in_flight: view.in_flight,
+                is_warm: view.life.is_warm(),
+            });
+        }
+        upstreams
+    }
+}
+
+/// What a pool looks like from outside.
+#[derive(Debug, Reply)]
+pub struct PoolView {
+    /// Its upstreams.
+    pub upstreams: Vec<UpstreamView>,
+    /// Whether another instance holds it.
+    pub is_closed: bool,
+}
+
+/// Asks for a [`PoolView`].
+#[derive(Debug)]
+pub struct Look;
+
+impl Message<Look> for PoolActor {
+    type Reply = PoolView;
+
+    async fn handle(&mut self, _: Look, _: &mut Context<Self, PoolView>) -> PoolView {
+        PoolView {
+            upstreams: self.pool.view(),
+            is_closed: self.pool.is_closed(),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/run.rs
@@ -0,0 +1,180 @@
+//! Runs a daemon from its start to its planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::prelude::*;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::config::Config;
+use super::greeter::{greet_all, keep};
+use super::holder::start_held_pools;
+use super::keyed::teach;
+use super::metrics::{Gauge, Metrics};
+use super::node::Node;
+use super::pool_actor::Look;
+use super::versions::VersionActor;
+use super::{admin, entry, listing, peer_server, versions};
+use crate::connection::caller::serve;
+
+/// Time in which the platform's balancer sees that the instance is not ready.
+const NOT_READY_TIME: Duration = Duration::from_millis(1_500);
+/// Interval between looks whether the last calls have ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which calls of other instances must end at a planned stop.
+const STOP_LIMIT: Duration = Duration::from_mins(10);
+/// Interval between gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a daemon did not run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address cannot be bound.
+    #[error("cannot listen at {address}: {error}; free it or set another")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// No socket for metrics.
+    #[error("cannot open a socket for metrics: {0}; remove \"metrics_address\"")]
+    Metrics(std::io::Error),
+    /// Signals cannot be followed.
+    #[error("cannot follow signals: {0}; see the limits of the system")]
+    Signals(std::io::Error),
+}
+
+/// Runs until a signal asks for a planned stop, and finishes it.
+///
+/// # Errors
+/// Where the daemon cannot start.
+pub async fn run(config: Config) -> Result<(), RunError> {
+    let metrics = Metrics::new(config.metrics_address).map_err(RunError::Metrics)?;
+    let node = Node::new(Arc::new(config), metrics);
+    let versions = VersionActor::spawn(Arc::clone(&node));
+    let callers = bind(node.config.caller_address).await?;
+    let operators = bind(node.config.admin_address).await?;
+    listen_for_peers(&node).await?;
+    start_followers(&node, &versions);
+
+    let (stop, stopping) = watch::channel(false);
+    let caller_server = serve(callers, entry::router(Arc::clone(&node)), stopping.clone());
+    let caller_server = tokio::spawn(caller_server);
+    let admin_server = serve(operators, admin::router(Arc::clone(&node)), stopping);
+    tokio::spawn(admin_server);
+    tracing::info!(name = %node.me.name, address = %node.config.caller_address, "started");
+
+    wait_for_signal().await?;
+    leave(&node, &versions).await;
+    stop.send_replace(true);
+    if let Err(error) = caller_server.await {
+        tracing::warn!(%error, "the callers' server ended early");
+    }
+    finish_pools(&node).await;
+    tracing::info!(name = %node.me.name, "stopped");
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| RunError::Bind { address, error })
+}
+
+async fn listen_for_peers(node: &Arc<Node>) -> Result<(), RunError> {
+    let address = node.config.peer_address;
+    let listening = peer_server::listen(Arc::clone(node), address).await;
+    listening.map_err(|error| RunError::Bind { address, error })
+}
+
+fn start_followers(node: &Arc<Node>, versions: &ActorRef<VersionActor>) {
+    tokio::spawn(listing::follow(Arc::clone(node)));
+    tokio::spawn(versions::follow(Arc::clone(node), versions.clone()));
+    tokio::spawn(keep(Arc::clone(node), versions.clone()));
+    tokio::spawn(follow_changes(Arc::clone(node)));
+    tokio::spawn(report_gauges(Arc::clone(node)));
+}
+
+/// Takes up new pools and passes keys on whenever the view changes.
+async fn follow_changes(node: Arc<Node>) {
+    let mut changes = node.changed.subscribe();
+    let mut taught = node.view();
+    while changes.changed().await.is_ok() {
+        start_held_pools(&node).await;
+        let view = node.view();
+        if *view != *taught && node.is_joined() {
+            teach(&node, &taught, &view).await;
+            taught = view;
+        }
+    }
+}
+
+async fn report_gauges(node: Arc<Node>) {
+    loop {
+        sleep(GAUGE_INTERVAL).await;
+        let members = node.view().members().len();
+        let keys = node.register().len();
+        let list_age_ms = node.fence.list_age_ms(node.clock.now_ms());
+        node.metrics.set(Gauge::Members, to_u64(members));
+        node.metrics.set(Gauge::Keys, to_u64(keys));
+        node.metrics.set(Gauge::ListAgeMs, list_age_ms);
+    }
+}
+
+async fn wait_for_signal() -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Turns not ready, tells the others, and hands keys over.
+async fn leave(node: &Arc<Node>, versions: &ActorRef<VersionActor>) {
+    tracing::info!(name = %node.me.name, "stopping");
+    node.begin_stop();
+    let before = node.view();
+    node.members().on_leave(node.clock.now_ms());
+    let after = node.view();
+    greet_all(node, versions).await;
+    teach(node, &before, &after).await;
+    node.announce();
+    sleep(NOT_READY_TIME).await;
+    // Once more, for keys that were claimed in the meantime.
+    teach(node, &before, &after).await;
+}
+
+/// Waits for the calls that other instances brought.
+async fn finish_pools(node: &Arc<Node>) {
+    let finish = async {
+        loop {
+            let mut running = 0;
+            for (_, actor) in node.pools() {
+                let Ok(view) = actor.ask(Look).await else {
+                    continue;
+                };
+                for upstream in view.upstreams {
+                    running += upstream.in_flight;
+                }
+            }
+            if running == 0 && node.following().is_empty() {
+                return;
+            }
+            sleep(STOP_INTERVAL).await;
+        }
+    };
+    if tokio::time::timeout(STOP_LIMIT, finish).await.is_err() {
+        tracing::warn!("calls still run at the end of the planned stop");
+    }
+}
+
+fn to_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/process/versions.rs
@@ -0,0 +1,211 @@
+//! The actor that holds the version in force, and the reader of its stream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::prelude::*;
+use rand::RngExt;
+use tokio::time::{Instant, sleep};
+
+use super::metrics::{Counter, Gauge};
+use super::node::Node;
+use crate::connection::log::{LogClient, Page};
+use crate::connection::wire::Snapshot;
+use crate::version::fold::{Accepted, Fold, Verdict};
+use crate::version::objects::Objects;
+use crate::version::record::{FORMAT, Record, STREAM};
+
+/// Time that a read waits for new records.
+const READ_WAIT: Duration = Duration::from_secs(3);
+/// Pause after the log gave no answer.
+const RETRY_PAUSE_MS: u64 = 500;
+/// Age from which the version in force is written again.
+const SNAPSHOT_AGE: Duration = Duration::from_hours(1);
+
+/// Holds the version in force.
+#[derive(Debug)]
+pub struct VersionActor {
+    node: Arc<Node>,
+    fold: Fold,
+    written: Instant,
+}
+
+impl Actor for VersionActor {
+    type Args = Arc<Node>;
+    type Error = std::convert::Infallible;
+
+    async fn on_start(node: Arc<Node>, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        Ok(Self {
+            node,
+            fold: Fold::default(),
+            written: Instant::now(),
+        })
+    }
+}
+
+impl VersionActor {
+    fn put_in_force(&mut self) {
+        let accepted = self.fold.accepted();
+        if accepted.version == self.node.accepted.load().version {
+            return;
+        }
+        tracing::info!(
+            target: "configuration",
+            version = accepted.version,
+            author = %accepted.author,
+            id = %accepted.id,
+            "in force"
+        );
+        self.node.metrics.set(Gauge::Version, accepted.version);
+        self.node.accepted.store(Arc::clone(accepted));
+        self.node.update_pools();
+        self.node.greet_now.notify_one();
+    }
+
+    fn apply(&mut self, offset: u64, text: &str) {
+        let record: Record = match serde_json::from_str(text) {
+            Ok(record) => record,
+            Err(error) => {
+                self.node.metrics.count(Counter::RecordsRejected);
+                tracing::warn!(target: "configuration", offset, %error, "unreadable record");
+                self.fold.skip(offset);
+                return;
+            }
+        };
+        let verdict = self.fold.apply(offset, &record);
+        if matches!(verdict, Verdict::Accepted | Verdict::KnownSnapshot) {
+            self.written = Instant::now();
+            return;
+        }
+        self.node.metrics.count(Counter::RecordsRejected);
+        tracing::info!(target: "configuration", offset, id = %record.id, %verdict, "turned down");
+    }
+}
+
+/// A page of the stream.
+#[derive(Debug)]
+pub struct Read(pub Page);
+
+impl Message<Read> for VersionActor {
+    /// Offset to read from next.
+    type Reply = u64;
+
+    async fn handle(&mut self, Read(page): Read, _: &mut Context<Self, u64>) -> u64 {
+        if page.next_offset < self.fold.next_offset() {
+            // A replica that is behind: what it lacks stays in force.
+            tracing::warn!(
+                target: "configuration",
+                head = page.next_offset,
+                known = self.fold.next_offset(),
+                "the log answered from behind"
+            );
+            return self.fold.next_offset();
+        }
+        for record in &page.records {
+            if record.offset >= self.fold.next_offset() {
+                self.apply(record.offset, record.data.get());
+            }
+        }
+        self.put_in_force();
+        self.fold.next_offset()
+    }
+}
+
+/// The version that a peer has in force.
+#[derive(Debug)]
+pub struct Adopt(pub Snapshot);
+
+impl Message<Adopt> for VersionActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Adopt(snapshot): Adopt, _: &mut Context<Self, ()>) {
+        let objects = match Objects::parse(&snapshot.text, "a peer") {
+            Ok(objects) => objects,
+            Err(problems) => {
+                tracing::warn!(target: "configuration", ?problems, "a peer's set is not taken");
+                return;
+            }
+        };
+        let accepted = Accepted {
+            version: snapshot.version,
+            id: snapshot.id,
+            author: snapshot.author,
+            text: snapshot.text,
+            objects: Arc::new(objects),
+        };
+        self.fold.adopt(&Arc::new(accepted));
+        self.put_in_force();
+    }
+}
+
+/// Asks whether the version in force is due to be written again.
+#[derive(Debug)]
+pub struct DueSnapshot;
+
+impl Message<DueSnapshot> for VersionActor {
+    type Reply = Option<Record>;
+
+    async fn handle(&mut self, _: DueSnapshot, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let accepted = self.fold.accepted();
+        if accepted.version == 0 || self.written.elapsed() < SNAPSHOT_AGE {
+            return None;
+        }
+        Some(snapshot_record(accepted))
+    }
+}
+
+/// The record that writes a version again.
+#[must_use]
+pub fn snapshot_record(accepted: &Accepted) -> Record {
+    let nonce: u64 = rand::random();
+    Record {
+        format: FORMAT,
+        id: format!("snapshot-{}-{nonce:x}", accepted.version).into(),
+        based_on: accepted.version,
+        snapshot_of: Some(accepted.version),
+        author: Arc::clone(&accepted.author),
+        text: Arc::clone(&accepted.text),
+    }
+}
+
+/// Follows the stream until the process ends.
+pub async fn follow(node: Arc<Node>, versions: ActorRef<VersionActor>) {
+    let log = LogClient::new(&node.config.log_url, STREAM);
+    let mut from = 0;
+    loop {
+        match log.read(from, READ_WAIT).await {
+            Ok(page) => {
+                node.fence.on_contact(node.clock.now_ms());
+                let Ok(next) = versions.ask(Read(page)).await else {
+                    return;
+                };
+                from = next;
+                write_snapshot(&node, &versions, &log).await;
+            }
+            Err(error) => {
+                tracing::debug!(target: "configuration", %error, "no answer");
+                let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS / 2..RETRY_PAUSE_MS);
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+}
+
+/// Writes the version in force again before the log drops its record.
+///
+/// The instance that rendezvous hashing names does so; where views differ
+/// two may, and the second record changes nothing.
+async fn write_snapshot(node: &Node, versions: &ActorRef<VersionActor>, log: &LogClient) {
+    let is_writer = node
+        .view()
+        .holder("snapshot", "")
+        .is_some_and(|holder| **holder == *node.me);
+    if !is_writer {
+        return;
+    }
+    if let Ok(Some(record)) = versions.ask(DueSnapshot).await
+        && let Err(error) = log.append(&record).await
+    {
+        tracing::warn!(target: "configuration", %error, "the snapshot was not written");
+    }
+}
--- /dev/null
+++ b/src/request/context.rs
@@ -0,0 +1,107 @@
+//! The signed context that a call hands to the calls it makes.
+//!
+//! An upstream that calls on sends the context it was given in place of an
+//! API key. The signature keeps it from changing the organisation or tier.
+
+use std::sync::Arc;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+use thiserror::Error;
+
+use crate::version::objects::TierKind;
+
+/// Deepest chain of calls.
+pub const DEPTH_MAX: u8 = 7;
+
+/// Who a chain of calls belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Context {
+    /// Owner of the first call.
+    pub organisation: Arc<str>,
+    /// Its tier.
+    pub tier: TierKind,
+    /// Calls between the first caller and this one.
+    pub depth: u8,
+}
+
+/// Why a context is not taken.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum ContextError {
+    /// It does not have the four parts.
+    #[error("the context is malformed; send the header as it was received")]
+    Malformed,
+    /// Its signature is not that of this deployment.
+    #[error("the context has a wrong signature; send the header as it was received")]
+    Forged,
+    /// The chain of calls is too deep.
+    #[error("the chain of calls is deeper than {DEPTH_MAX}; call fewer services in turn")]
+    TooDeep,
+}
+
+impl Context {
+    /// The header value, signed with the deployment's secret.
+    #[must_use]
+    pub fn sign(&self, secret: &str) -> String {
+        let text = format!("{}.{}.{}", self.depth, self.tier, self.organisation);
+        let signature = to_hex(&mac(secret, &text).finalize().into_bytes());
+        format!("{signature}.{text}")
+    }
+
+    /// Reads a header value.
+    ///
+    /// # Errors
+    /// Where the value is malformed, forged or too deep.
+    pub fn verify(value: &str, secret: &str) -> Result<Self, ContextError> {
+        let (signature, text) = value.split_once('.').ok_or(ContextError::Malformed)?;
+        let signature = from_hex(signature).ok_or(ContextError::Malformed)?;
+        mac(secret, text)
+            .verify_slice(&signature)
+            .map_err(|_| ContextError::Forged)?;
+        let mut parts = text.splitn(3, '.');
+        let depth: Option<u8> = parts.next().and_then(|depth| depth.parse().ok());
+        let tier = parts.next().and_then(|tier| tier.parse().ok());
+        let organisation = parts.next().filter(|name| !name.is_empty());
+        let (Some(depth), Some(tier), Some(organisation)) = (depth, tier, organisation) else {
+            return Err(ContextError::Malformed);
+        };
+        if depth > DEPTH_MAX {
+            return Err(ContextError::TooDeep);
+        }
+        Ok(Self {
+            organisation: organisation.into(),
+            tier,
+            depth,
+        })
+    }
+}
+
+fn mac(secret: &str, text: &str) -> Hmac<Sha256> {
+    let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(secret.as_bytes())
+        .unwrap_or_else(|_| unreachable!("HMAC takes keys of every length"));
+    mac.update(text.as_bytes());
+    mac
+}
+
+/// Lower-case hexadecimal digits of bytes.
+#[must_use]
+pub fn to_hex(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        text.push(char::from(DIGITS[usize::from(byte >> 4)]));
+        text.push(char::from(DIGITS[usize::from(byte & 15)]));
+    }
+    text
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
+        return None;
+    }
+    let mut bytes = Vec::with_capacity(text.len() / 2);
+    for at in (0..text.len()).step_by(2) {
+        bytes.push(u8::from_str_radix(&text[at..at + 2], 16).ok()?);
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/src/version/objects.rs
@@ -0,0 +1,411 @@
+//! The named objects that operators publish, and the check of a whole set.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use strum::{Display, EnumString};
+
+use super::reader::{Fields, Placed, Problem, Reader};
+use crate::request::context::to_hex;
+
+/// Longest run of one call at an upstream, in milliseconds.
+const RUN_LIMIT_MAX_MS: u64 = 600_000;
+/// Most slots that one upstream may be given.
+const SLOTS_MAX: u64 = 64;
+/// Largest body of a call or an answer, in bytes.
+const BODY_LIMIT_MAX: u64 = 8 * 1024 * 1024;
+
+/// How a tier is served when slots are short.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum TierKind {
+    /// Served before every trial.
+    Paying,
+    /// Served from what paying calls leave free.
+    Trial,
+}
+
+impl TierKind {
+    /// Position in the order of service, 0 first.
+    #[must_use]
+    pub fn rank(self) -> usize {
+        match self {
+            Self::Paying => 0,
+            Self::Trial => 1,
+        }
+    }
+
+    /// Whether calls of this tier give way to others.
+    #[must_use]
+    pub fn is_trial(self) -> bool {
+        self == Self::Trial
+    }
+}
+
+/// Whether a data centre takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum Presence {
+    /// It takes work.
+    In,
+    /// It gets nothing new.
+    Out,
+}
+
+impl Presence {
+    /// Whether new work may go there.
+    #[must_use]
+    pub fn takes_work(self) -> bool {
+        self == Self::In
+    }
+}
+
+/// A data centre and whether it takes work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DataCentre {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Region that holds it.
+    pub region: Arc<str>,
+    /// Whether it takes work.
+    pub presence: Presence,
+}
+
+/// A group of organisations that are served alike.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tier {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// How it is served when slots are short.
+    pub kind: TierKind,
+}
+
+/// A customer, known by its API keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Organisation {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// The kind of the tier that it belongs to.
+    pub tier: TierKind,
+    /// SHA-256 of each API key, in lower-case hexadecimal.
+    pub key_hashes: Vec<Arc<str>>,
+}
+
+/// One service and the limits of its upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Unique name, also the first part of a call's path.
+    pub name: Arc<str>,
+    /// Calls that one warm upstream runs at once.
+    pub slots: usize,
+    /// Calls that one cold upstream can bear at once.
+    pub cold_slots: usize,
+    /// Longest run of one call at an upstream.
+    pub run_limit_ms: u64,
+    /// Methods whose calls may be repeated, upper case.
+    pub idempotent_methods: Vec<Arc<str>>,
+    /// Largest body of a call or an answer.
+    pub body_limit_bytes: usize,
+    /// Share of an upstream's slot time that measuring may take, in thousandths.
+    pub measuring_permille: u64,
+    /// Slot time that one probe costs an upstream.
+    pub probe_cost_ms: u64,
+    /// Path of the upstreams' health endpoint.
+    pub health_path: Arc<str>,
+    /// Data centres that hold its upstreams.
+    pub data_centres: Vec<Arc<str>>,
+}
+
+impl Service {
+    /// Whether calls with `method` may be repeated.
+    #[must_use]
+    pub fn is_idempotent(&self, method: &str) -> bool {
+        self.idempotent_methods.iter().any(|name| &**name == method)
+    }
+}
+
+/// A checked set of objects.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Objects {
+    /// Data centres by name.
+    pub data_centres: BTreeMap<Arc<str>, DataCentre>,
+    /// Tiers by name.
+    pub tiers: BTreeMap<Arc<str>, Tier>,
+    /// Organisations by name.
+    pub organisations: BTreeMap<Arc<str>, Arc<Organisation>>,
+    /// Services by name.
+    pub services: BTreeMap<Arc<str>, Arc<Service>>,
+    keys: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+impl Objects {
+    /// Reads and checks a whole set.
+    ///
+    /// # Errors
+    /// Every problem of the set, in order of lines.
+    pub fn parse(text: &str, source: &str) -> Result<Self, Vec<Problem>> {
+        let mut reader = Reader::new(text, source);
+        let mut objects = Self::default();
+        if let Some(mut root) = reader.root() {
+            objects.read_data_centres(&mut reader, &mut root);
+            objects.read_tiers(&mut reader, &mut root);
+            objects.read_organisations(&mut reader, &mut root);
+            objects.read_services(&mut reader, &mut root);
+            root.finish(&mut reader);
+        }
+        let problems = reader.into_problems();
+        if problems.is_empty() {
+            Ok(objects)
+        } else {
+            Err(problems)
+        }
+    }
+
+    /// The organisation that owns an API key.
+    #[must_use]
+    pub fn organisation_of(&self, api_key: &str) -> Option<&Arc<Organisation>> {
+        let name = self.keys.get(hash_key(api_key).as_str())?;
+        self.organisations.get(name)
+    }
+
+    /// Whether new work may go to a data centre.
+    #[must_use]
+    pub fn takes_work(&self, data_centre: &str) -> bool {
+        self.data_centres
+            .get(data_centre)
+            .is_some_and(|found| found.presence.takes_work())
+    }
+
+    fn read_data_centres(&mut self, reader: &mut Reader<'_>, root: &mut Fields<'_>) {
+        let what = "a data centre";
+        for mut fields in root.objects(reader, "data_centres", what) {
+            let name = fields.text(reader, "name");
+            let region = fields.text(reader, "region");
+            let presence = read_name::<Presence>(reader, &mut fields, "state", "\"in\" or \"out\"");
+            fields.finish(reader);
+            let (Some(name), Some(region)) = (name, region) else {
+                continue;
+            };
+            let data_centre = DataCentre {
+                name: Arc::clone(&name.value),
+                region: region.value,
+                presence: presence.unwrap_or(Presence::In),
+            };
+            insert_once(reader, &mut self.data_centres, &name, data_centre, what);
+        }
+        if self.data_centres.is_empty() {
+            reader.report(
+                root.offset(),
+                "the set names no data centre; add one".into(),
+            );
+        }
+    }
+
+    fn read_tiers(&mut self, reader: &mut Reader<'_>, root: &mut Fields<'_>) {
+        let what = "a tier";
+        for mut fields in root.objects(reader, "tiers", what) {
+            let name = fields.text(reader, "name");
+            let wanted = "\"paying\" or \"trial\"";
+            let kind = read_name::<TierKind>(reader, &mut fields, "kind", wanted);
+            fields.finish(reader);
+            let (Some(name), Some(kind)) = (name, kind) else {
+                continue;
+            };
+            let tier = Tier {
+                name: Arc::clone(&name.value),
+                kind,
+            };
+            insert_once(reader, &mut self.tiers, &name, tier, what);
+        }
+    }
+
+    fn read_organisations(&mut self, reader: &mut Reader<'_>, root: &mut Fields<'_>) {
+        let what = "an organisation";
+        for mut fields in root.objects(reader, "organisations", what) {
+            let name = fields.text(reader, "name");
+            let tier = fields.text(reader, "tier");
+            let hashes = fields.texts(reader, "key_hashes");
+            fields.finish(reader);
+            let (Some(name), Some(tier)) = (name, tier) else {
+                continue;
+            };
+            let Some(kind) = self.tiers.get(&tier.value).map(|tier| tier.kind) else {
+                report_dangling(reader, &tier, "tier");
+                continue;
+            };
+            let mut key_hashes = Vec::new();
+            for hash in hashes {
+                key_hashes.extend(self.read_hash(reader, &name.value, hash));
+            }
+            let organisation = Arc::new(Organisation {
+                name: Arc::clone(&name.value),
+                tier: kind,
+                key_hashes,
+            });
+            insert_once(reader, &mut self.organisations, &name, organisation, what);
+        }
+    }
+
+    fn read_hash(
+        &mut self,
+        reader: &mut Reader<'_>,
+        organisation: &Arc<str>,
+        hash: Placed<Arc<str>>,
+    ) -> Option<Arc<str>> {
+        let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if hash.value.len() != 64 || !hash.value.bytes().all(is_hex) {
+            let message = "a key hash must be the SHA-256 of an API key as 64 lower-case \
+                           hexadecimal digits; make one with \"chicorywing hash-key\"";
+            reader.report(hash.offset, message.into());
+            return None;
+        }
+        let owner = self.keys.insert(hash.value.clone(), organisation.clone());
+        if let Some(owner) = owner {
+            let message = format!("this key hash already belongs to \"{owner}\"; remove one");
+            reader.report(hash.offset, message);
+        }
+        Some(hash.value)
+    }
+
+    fn read_services(&mut self, reader: &mut Reader<'_>, root: &mut Fields<'_>) {
+        let what = "a service";
+        for mut fields in root.objects(reader, "services", what) {
+            let name = fields.text(reader, "name");
+            let service = self.read_service(reader, &mut fields, name.as_ref());
+            fields.finish(reader);
+            if let (Some(name), Some(service)) = (name, service) {
+                insert_once(reader, &mut self.services, &name, Arc::new(service), what);
+            }
+        }
+    }
+
+    fn read_service(
+        &self,
+        reader: &mut Reader<'_>,
+        fields: &mut Fields<'_>,
+        name: Option<&Placed<Arc<str>>>,
+    ) -> Option<Service> {
+        let slots = fields.number(reader, "slots", 1, SLOTS_MAX);
+        let cold_slots = fields.number_or(reader, "cold_slots", 1, SLOTS_MAX, 1);
+        let run_limit = fields.number(reader, "run_limit_ms", 1, RUN_LIMIT_MAX_MS);
+        let body_limit = fields.number_or(reader, "body_limit_bytes", 0, BODY_LIMIT_MAX, 64 * 1024);
+        let permille = fields.number_or(reader, "measuring_permille", 0, 1000, 10);
+        let probe_cost = fields.number_or(reader, "probe_cost_ms", 1, 1000, 6);
+        let health_path = fields.optional_text(reader, "health_path");
+        let methods = fields.texts(reader, "idempotent_methods");
+        let data_centres = fields.texts(reader, "data_centres");
+        let (name, slots, run_limit) = (name?, slots?, run_limit?);
+        if cold_slots.value > slots.value {
+            let message = format!(
+                "\"cold_slots\" is {} but \"slots\" is {}; make it no larger",
+                cold_slots.value, slots.value
+            );
+            reader.report(cold_slots.offset, message);
+        }
+        if data_centres.is_empty() {
+            let message = format!("service \"{}\" names no data centre; add one", name.value);
+            reader.report(name.offset, message);
+        }
+        for data_centre in &data_centres {
+            if !self.data_centres.contains_key(&data_centre.value) {
+                report_dangling(reader, data_centre, "data centre");
+            }
+        }
+        Some(Service {
+            name: Arc::clone(&name.value),
+            slots: to_usize(slots.value),
+            cold_slots: to_usize(cold_slots.value),
+            run_limit_ms: run_limit.value,
+            idempotent_methods: read_methods(reader, methods),
+            body_limit_bytes: to_usize(body_limit.value),
+            measuring_permille: permille.value,
+            probe_cost_ms: probe_cost.value,
+            health_path: health_path.map_or_else(|| "/health".into(), |path| path.value),
+            data_centres: data_centres.into_iter().map(|found| found.value).collect(),
+        })
+    }
+}
+
+/// SHA-256 of an API key in lower-case hexadecimal.
+#[must_use]
+pub fn hash_key(api_key: &str) -> String {
+    to_hex(&Sha256::digest(api_key.as_bytes()))
+}
+
+/// Methods that RFC 9110 (section 9.2.2) defines as safe; `PUT` and `DELETE`
+/// are idempotent by it too but count only where the service says so.
+const DEFAULT_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+fn read_methods(reader: &mut Reader<'_>, methods: Vec<Placed<Arc<str>>>) -> Vec<Arc<str>> {
+    if methods.is_empty() {
+        return DEFAULT_METHODS.into_iter().map(Arc::from).collect();
+    }
+    let mut names = Vec::new();
+    for method in methods {
+        if !method.value.bytes().all(|byte| byte.is_ascii_uppercase()) {
+            let message = format!("the method \"{}\" must be in upper case", method.value);
+            reader.report(method.offset, message);
+            continue;
+        }
+        names.push(method.value);
+    }
+    names
+}
+
+fn read_name<T: FromStr>(
+    reader: &mut Reader<'_>,
+    fields: &mut Fields<'_>,
+    field: &str,
+    wanted: &str,
+) -> Option<T> {
+    let text = fields.text(reader, field)?;
+    let parsed = text.value.parse().ok();
+    if parsed.is_none() {
+        let message = format!("\"{field}\" is \"{}\"; write {wanted}", text.value);
+        reader.report(text.offset, message);
+    }
+    parsed
+}
+
+fn insert_once<T>(
+    reader: &mut Reader<'_>,
+    map: &mut BTreeMap<Arc<str>, T>,
+    name: &Placed<Arc<str>>,
+    value: T,
+    what: &str,
+) {
+    if map.insert(Arc::clone(&name.value), value).is_some() {
+        let message = format!("{what} named \"{}\" stands twice; rename one", name.value);
+        reader.report(name.offset, message);
+    }
+}
+
+fn report_dangling(reader: &mut Reader<'_>, name: &Placed<Arc<str>>, kind: &str) {
+    let message = format!(
+        "no {kind} is named \"{}\"; add it or correct the name",
+        name.value
+    );
+    reader.report(name.offset, message);
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/src/version/reader.rs
@@ -0,0 +1,280 @@
+//! Reads JSON with comments and collects every problem with its line.
+
+use std::fmt;
+use std::sync::Arc;
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+/// One fault in a text, with the place and what to do about it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// Name of the file or stream that holds the text.
+    pub source: Arc<str>,
+    /// Line, counted from 1.
+    pub line: usize,
+    /// What is wrong and how to mend it, in one sentence.
+    pub message: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.source, self.line, self.message)
+    }
+}
+
+/// Collects problems while a text is read.
+#[derive(Debug)]
+pub struct Reader<'t> {
+    text: &'t str,
+    source: Arc<str>,
+    problems: Vec<Problem>,
+}
+
+impl<'t> Reader<'t> {
+    /// A reader over `text`, named `source` in problems.
+    #[must_use]
+    pub fn new(text: &'t str, source: &str) -> Self {
+        Self {
+            text,
+            source: source.into(),
+            problems: Vec::new(),
+        }
+    }
+
+    /// Parses the text into its root object; `None` after a syntax error.
+    pub fn root(&mut self) -> Option<Fields<'t>> {
+        let options = ParseOptions {
+            allow_loose_object_property_names: false,
+            ..ParseOptions::default()
+        };
+        let parsed = match parse_to_ast(self.text, &CollectOptions::default(), &options) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                let message = format!("the text is not JSON with comments: {}", error.kind());
+                self.report(error.range().start, message);
+                return None;
+            }
+        };
+        if let Some(Value::Object(object)) = parsed.value {
+            Some(Fields::new(object, "the root"))
+        } else {
+            self.report(0, "the root must be an object in braces".to_owned());
+            None
+        }
+    }
+
+    /// Notes a problem at a byte offset of the text.
+    pub fn report(&mut self, offset: usize, message: String) {
+        let upto = offset.min(self.text.len());
+        let before = self.text.get(..upto).unwrap_or_default();
+        let newlines = before.matches('\n').count();
+        self.problems.push(Problem {
+            source: Arc::clone(&self.source),
+            line: newlines + 1,
+            message,
+        });
+    }
+
+    /// The problems so far, in order of lines.
+    #[must_use]
+    pub fn into_problems(mut self) -> Vec<Problem> {
+        self.problems.sort_by_key(|problem| problem.line);
+        self.problems
+    }
+}
+
+/// A value of the text together with where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed<T> {
+    /// The value.
+    pub value: T,
+    /// Byte offset in the text.
+    pub offset: usize,
+}
+
+/// The fields of one object, taken out one at a time.
+#[derive(Debug)]
+pub struct Fields<'t> {
+    object: Object<'t>,
+    what: String,
+    offset: usize,
+}
+
+impl<'t> Fields<'t> {
+    fn new(object: Object<'t>, what: &str) -> Self {
+        let offset = object.range.start;
+        Self {
+            object,
+            what: what.to_owned(),
+            offset,
+        }
+    }
+
+    /// Byte offset of the object in the text.
+    #[must_use]
+    pub fn offset(&self) -> usize {
+        self.offset
+    }
+
+    fn take(&mut self, name: &str) -> Option<ObjectProp<'t>> {
+        let at = self
+            .object
+            .properties
+            .iter()
+            .position(|property| property.name.as_str() == name)?;
+        Some(self.object.properties.remove(at))
+    }
+
+    fn required(&mut self, reader: &mut Reader<'_>, name: &str) -> Option<ObjectProp<'t>> {
+        let found = self.take(name);
+        if found.is_none() {
+            let message = format!("{} lacks the field \"{name}\"; add it", self.what);
+            reader.report(self.offset, message);
+        }
+        found
+    }
+
+    fn wrong(&self, reader: &mut Reader<'_>, name: &str, value: &Value<'_>, wanted: &str) {
+        let message = format!("\"{name}\" of {} must be {wanted}", self.what);
+        reader.report(value.range().start, message);
+    }
+
+    /// A required string that is not empty.
+    pub fn text(&mut self, reader: &mut Reader<'_>, name: &str) -> Option<Placed<Arc<str>>> {
+        let value = self.required(reader, name)?.value;
+        self.as_text(reader, name, &value)
+    }
+
+    /// An optional string that is not empty.
+    pub fn optional_text(
+        &mut self,
+        reader: &mut Reader<'_>,
+        name: &str,
+    ) -> Option<Placed<Arc<str>>> {
+        let value = self.take(name)?.value;
+        self.as_text(reader, name, &value)
+    }
+
+    fn as_text(
+        &self,
+        reader: &mut Reader<'_>,
+        name: &str,
+        value: &Value<'_>,
+    ) -> Option<Placed<Arc<str>>> {
+        let text = value.as_string_lit().map(|text| text.value.as_ref());
+        let Some(text) = text.filter(|text| !text.is_empty()) else {
+            self.wrong(reader, name, value, "a string with at least one character");
+            return None;
+        };
+        Some(Placed {
+            value: text.into(),
+            offset: value.range().start,
+        })
+    }
+
+    /// A required whole number from `low` to `high`.
+    pub fn number(
+        &mut self,
+        reader: &mut Reader<'_>,
+        name: &str,
+        low: u64,
+        high: u64,
+    ) -> Option<Placed<u64>> {
+        let value = self.required(reader, name)?.value;
+        self.as_number(reader, name, &value, low, high)
+    }
+
+    /// An optional whole number from `low` to `high`, else `default`.
+    pub fn number_or(
+        &mut self,
+        reader: &mut Reader<'_>,
+        name: &str,
+        low: u64,
+        high: u64,
+        default: u64,
+    ) -> Placed<u64> {
+        let offset = self.offset;
+        let fallback = Placed {
+            value: default,
+            offset,
+        };
+        let Some(property) = self.take(name) else {
+            return fallback;
+        };
+        self.as_number(reader, name, &property.value, low, high)
+            .unwrap_or(fallback)
+    }
+
+    fn as_number(
+        &self,
+        reader: &mut Reader<'_>,
+        name: &str,
+        value: &Value<'_>,
+        low: u64,
+        high: u64,
+    ) -> Option<Placed<u64>> {
+        let number = value
+            .as_number_lit()
+            .and_then(|number| number.value.parse::<u64>().ok())
+            .filter(|number| (low..=high).contains(number));
+        let Some(number) = number else {
+            let wanted = format!("a whole number from {low} to {high}");
+            self.wrong(reader, name, value, &wanted);
+            return None;
+        };
+        Some(Placed {
+            value: number,
+            offset: value.range().start,
+        })
+    }
+
+    /// An optional list of strings, empty where it is missing.
+    pub fn texts(&mut self, reader: &mut Reader<'_>, name: &str) -> Vec<Placed<Arc<str>>> {
+        let mut texts = Vec::new();
+        let Some(property) = self.take(name) else {
+            return texts;
+        };
+        let Value::Array(array) = &property.value else {
+            self.wrong(reader, name, &property.value, "a list of strings");
+            return texts;
+        };
+        for element in &array.elements {
+            texts.extend(self.as_text(reader, name, element));
+        }
+        texts
+    }
+
+    /// An optional list of objects, each named `what` in problems.
+    pub fn objects(&mut self, reader: &mut Reader<'_>, name: &str, what: &str) -> Vec<Fields<'t>> {
+        let mut objects = Vec::new();
+        let Some(property) = self.take(name) else {
+            return objects;
+        };
+        let Value::Array(array) = property.value else {
+            self.wrong(reader, name, &property.value, "a list of objects");
+            return objects;
+        };
+        for element in array.elements {
+            let Value::Object(object) = element else {
+                self.wrong(reader, name, &element, "a list of objects");
+                continue;
+            };
+            objects.push(Fields::new(object, what));
+        }
+        objects
+    }
+
+    /// Reports every field that nothing has taken.
+    pub fn finish(self, reader: &mut Reader<'_>) {
+        for property in &self.object.properties {
+            let name = property.name.as_str();
+            let message = format!(
+                "{} has no field \"{name}\", or has it twice; remove or correct it",
+                self.what
+            );
+            reader.report(property.range.start, message);
+        }
+    }
+}
--- /dev/null
+++ b/trials/standin/list.rs
@@ -0,0 +1,126 @@
+//! The platform's lagging list of instances.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use argh::FromArgs;
+use axum::extract::{Path, State};
+use axum::http::header::{ETAG, IF_NONE_MATCH};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use chicorywing::connection::list::{InstanceList, ListedInstance};
+use serde::Deserialize;
+use tokio::time::Instant;
+
+/// the lagging list of live and leaving instances
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListArgs {
+    /// where it listens
+    #[argh(option)]
+    address: SocketAddr,
+    /// time by which changes show late
+    #[argh(option, default = "0")]
+    lag_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Faults {
+    /// Every request for the list fails.
+    is_down: bool,
+}
+
+enum Change {
+    Put(ListedInstance),
+    Delete(String),
+}
+
+#[derive(Default)]
+struct Known {
+    shown: BTreeMap<String, ListedInstance>,
+    pending: VecDeque<(Instant, Change)>,
+    revision: u64,
+    faults: Faults,
+}
+
+struct List {
+    known: Mutex<Known>,
+    lag: Duration,
+}
+
+type Shared = State<Arc<List>>;
+
+/// Serves the list until the process is ended.
+pub async fn run(args: &ListArgs) -> std::io::Result<()> {
+    let list = Arc::new(List {
+        known: Mutex::default(),
+        lag: Duration::from_millis(args.lag_ms),
+    });
+    let router = Router::new()
+        .route("/instances", get(read))
+        .route("/instances/{name}", put(add).delete(remove))
+        .route("/control", post(control))
+        .with_state(list);
+    crate::serve(args.address, router).await
+}
+
+fn with_known<T>(list: &List, act: impl FnOnce(&mut Known) -> T) -> T {
+    let mut known = list.known.lock().unwrap_or_else(PoisonError::into_inner);
+    while known
+        .pending
+        .front()
+        .is_some_and(|(at, _)| at.elapsed() >= list.lag)
+    {
+        let Some((_, change)) = known.pending.pop_front() else {
+            break;
+        };
+        known.revision += 1;
+        match change {
+            Change::Put(instance) => {
+                known.shown.insert(instance.name.to_string(), instance);
+            }
+            Change::Delete(name) => {
+                known.shown.remove(&name);
+            }
+        }
+    }
+    act(&mut known)
+}
+
+async fn control(State(list): Shared, Json(faults): Json<Faults>) {
+    with_known(&list, |known| known.faults = faults);
+}
+
+async fn add(State(list): Shared, Path(name): Path<String>, Json(instance): Json<ListedInstance>) {
+    let _ = name;
+    let change = Change::Put(instance);
+    with_known(&list, |known| {
+        known.pending.push_back((Instant::now(), change));
+    });
+}
+
+async fn remove(State(list): Shared, Path(name): Path<String>) {
+    let change = Change::Delete(name);
+    with_known(&list, |known| {
+        known.pending.push_back((Instant::now(), change));
+    });
+}
+
+async fn read(State(list): Shared, headers: HeaderMap) -> Response {
+    with_known(&list, |known| {
+        if known.faults.is_down {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        let tag = format!("\"{}\"", known.revision);
+        if headers.get(IF_NONE_MATCH).is_some_and(|seen| *seen == *tag) {
+            return StatusCode::NOT_MODIFIED.into_response();
+        }
+        let instances = known.shown.values().cloned().collect();
+        ([(ETAG, tag)], Json(InstanceList { instances })).into_response()
+    })
+}
--- /dev/null
+++ b/trials/standin/log.rs
@@ -0,0 +1,159 @@
+//! The platform's append-only log.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use argh::FromArgs;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use chicorywing::connection::log::{Appended, LogRecord, Page};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Records that one page holds.
+const PAGE_LENGTH: usize = 100;
+
+/// the append-only log
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "log")]
+pub struct LogArgs {
+    /// where it listens
+    #[argh(option)]
+    address: SocketAddr,
+}
+
+/// What the log is told to do wrong; all fields may be set over `/control`.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Faults {
+    /// Every request fails.
+    is_down: bool,
+    /// Every request waits so long.
+    delay_ms: u64,
+    /// So many appends take effect but are answered with an error.
+    lose_answers: u32,
+    /// Records that a stream keeps; 0 for all.
+    keep: usize,
+    /// Reads see the streams as they were so many records ago.
+    behind: u64,
+}
+
+#[derive(Default)]
+struct Stream {
+    first: u64,
+    records: Vec<Box<RawValue>>,
+}
+
+struct Log {
+    streams: Mutex<HashMap<String, Stream>>,
+    faults: Mutex<Faults>,
+    appended: watch::Sender<u64>,
+}
+
+type Shared = State<Arc<Log>>;
+
+/// Serves the log until the process is ended.
+pub async fn run(args: &LogArgs) -> std::io::Result<()> {
+    let log = Arc::new(Log {
+        streams: Mutex::default(),
+        faults: Mutex::default(),
+        appended: watch::Sender::new(0),
+    });
+    let router = Router::new()
+        .route("/streams/{name}/records", post(append).get(read))
+        .route("/control", post(control))
+        .route("/health", get(|| async { "up\n" }))
+        .with_state(log);
+    crate::serve(args.address, router).await
+}
+
+async fn control(State(log): Shared, Json(faults): Json<Faults>) {
+    *log.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+}
+
+async fn suffer(log: &Log) -> Result<Faults, StatusCode> {
+    let faults = *log.faults.lock().unwrap_or_else(PoisonError::into_inner);
+    sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.is_down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    Ok(faults)
+}
+
+async fn append(
+    State(log): Shared,
+    Path(name): Path<String>,
+    Json(data): Json<Box<RawValue>>,
+) -> Result<Json<Appended>, StatusCode> {
+    let faults = suffer(&log).await?;
+    let offset = {
+        let mut streams = log.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let stream = streams.entry(name).or_default();
+        stream.records.push(data);
+        if faults.keep > 0 && stream.records.len() > faults.keep {
+            let excess = stream.records.len() - faults.keep;
+            stream.records.drain(..excess);
+            stream.first += excess as u64;
+        }
+        stream.first + stream.records.len() as u64 - 1
+    };
+    log.appended.send_modify(|count| *count += 1);
+    let mut faults = log.faults.lock().unwrap_or_else(PoisonError::into_inner);
+    if faults.lose_answers > 0 {
+        faults.lose_answers -= 1;
+        return Err(StatusCode::GATEWAY_TIMEOUT);
+    }
+    Ok(Json(Appended { offset }))
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn read(
+    State(log): Shared,
+    Path(name): Path<String>,
+    Query(query): Query<ReadQuery>,
+) -> Result<Json<Page>, StatusCode> {
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    let mut appended = log.appended.subscribe();
+    loop {
+        let faults = suffer(&log).await?;
+        let page = page(&log, &name, query.from, faults.behind);
+        if !page.records.is_empty() || Instant::now() >= until {
+            return Ok(Json(page));
+        }
+        let _ = timeout_at(until, appended.changed()).await;
+    }
+}
+
+fn page(log: &Log, name: &str, from: u64, behind: u64) -> Page {
+    let mut streams = log.streams.lock().unwrap_or_else(PoisonError::into_inner);
+    let stream = streams.entry(name.to_owned()).or_default();
+    let head = stream.first + stream.records.len() as u64;
+    let head = head.saturating_sub(behind).max(stream.first);
+    let mut records = Vec::new();
+    let mut offset = from.max(stream.first);
+    while offset < head && records.len() < PAGE_LENGTH {
+        let index = usize::try_from(offset - stream.first).unwrap_or(usize::MAX);
+        records.push(LogRecord {
+            offset,
+            data: stream.records[index].clone(),
+        });
+        offset += 1;
+    }
+    Page {
+        first_offset: stream.first,
+        next_offset: head,
+        records,
+    }
+}
