--- /dev/null
+++ b/benches/placement/main.rs
@@ -0,0 +1,37 @@
+//! Compares ways to place calls in one run of a small event model, and times
+//! one decision. `cargo bench --bench placement`.
+
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "the model draws its times as floating point numbers"
+)]
+
+mod decision;
+mod model;
+mod ways;
+
+use model::{Figures, Model, Scenario};
+use ways::Way;
+
+/// Seeds whose figures are pooled.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+fn main() {
+    for scenario in Scenario::all() {
+        println!("\n{}", scenario.title);
+        println!(
+            "{:<22} {:>7} {:>7} {:>7} {:>9} {:>9} {:>8} {:>6} {:>6}",
+            "way", "p50", "p99", "p99.9", "refused", "late", "trials", "most", "cold"
+        );
+        for way in Way::all() {
+            let mut figures = Figures::default();
+            for seed in SEEDS {
+                Model::new(&scenario, way, seed).run(&mut figures);
+            }
+            figures.print(way);
+        }
+    }
+    decision::time();
+}
--- /dev/null
+++ b/benches/placement/model.rs
@@ -0,0 +1,456 @@
+//! The event model: arrivals, upstreams with slots, hops, a slowdown, cold
+//! restarts, a holder's death.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use chicorywing::version::objects::TierKind;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::ways::{Action, Placer, Way};
+
+pub const INSTANCES: usize = 14;
+pub const UPSTREAMS: usize = 12;
+pub const SLOTS: usize = 2;
+pub const DATA_CENTRES: usize = 3;
+/// Calls that a cold upstream bears, and answers after which it is warm.
+const COLD_SLOTS: usize = 1;
+const WARM_AFTER: usize = 8;
+/// Time for which an upstream is gone that fell over.
+const FALLEN_US: u64 = 500_000;
+/// Hops within a data centre and between two.
+const NEAR_US: u64 = 100;
+const FAR_US: u64 = 500;
+/// Mean and spread of the lognormal service time.
+const MEAN_US: f64 = 5_000.0;
+const SIGMA: f64 = 0.8;
+/// Deadline of every call.
+pub const DEADLINE_US: u64 = 1_000_000;
+const SECONDS: u64 = 60;
+pub const END_US: u64 = SECONDS * 1_000_000;
+
+/// Load and faults of one comparison.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub title: &'static str,
+    /// Share of all slots that paying and trial calls would keep busy.
+    pub paying: f64,
+    pub trial: f64,
+    /// Upstream 0 is ten times slower in the second quarter.
+    pub is_slow: bool,
+    /// Upstreams 0, 4 and 8 restart cold at a third of the run.
+    pub restarts: bool,
+    /// The holder of data centre 0 dies in the middle of the run.
+    pub holder_dies: bool,
+}
+
+impl Scenario {
+    pub fn all() -> Vec<Self> {
+        let steady = Self {
+            title: "steady, 85 % paying (ms)",
+            paying: 0.85,
+            trial: 0.0,
+            is_slow: false,
+            restarts: false,
+            holder_dies: false,
+        };
+        let mixed = Self {
+            title: "60 % paying and 15 % trial (ms)",
+            paying: 0.60,
+            trial: 0.15,
+            ..steady.clone()
+        };
+        let with = |title, change: fn(&mut Self), base: &Self| {
+            let mut scenario = Self {
+                title,
+                ..base.clone()
+            };
+            change(&mut scenario);
+            scenario
+        };
+        vec![
+            with(
+                "one upstream ten times slower, 85 % paying (ms)",
+                |s| s.is_slow = true,
+                &steady,
+            ),
+            with(
+                "flood: 60 % paying, 150 % trial (ms)",
+                |s| s.trial = 1.5,
+                &mixed,
+            ),
+            with(
+                "flood and slowdown (ms)",
+                |s| (s.trial, s.is_slow) = (1.5, true),
+                &mixed,
+            ),
+            with(
+                "three cold restarts, 60 % and 15 % (ms)",
+                |s| s.restarts = true,
+                &mixed,
+            ),
+            with(
+                "holder dies, 60 % and 15 % (ms)",
+                |s| s.holder_dies = true,
+                &mixed,
+            ),
+            steady,
+            mixed,
+        ]
+    }
+}
+
+/// What one way brought, over all seeds; times in microseconds.
+#[derive(Debug, Default)]
+pub struct Figures {
+    paying_us: Vec<u64>,
+    refused: u64,
+    late: u64,
+    trials: u64,
+    most: usize,
+    most_cold: usize,
+}
+
+impl Figures {
+    pub fn print(&mut self, way: Way) {
+        self.paying_us.sort_unstable();
+        let at = |permille: usize| {
+            let index = (self.paying_us.len() * permille / 1000).min(self.paying_us.len() - 1);
+            let tenths = self.paying_us[index] / 100;
+            format!("{}.{}", tenths / 10, tenths % 10)
+        };
+        println!(
+            "{:<22} {:>7} {:>7} {:>7} {:>9} {:>9} {:>8} {:>6} {:>6}",
+            way.name(),
+            at(500),
+            at(990),
+            at(999),
+            self.refused,
+            self.late,
+            self.trials,
+            self.most,
+            self.most_cold
+        );
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    AtPool(usize, usize),
+    AtUpstream(usize, usize),
+    Done(usize, usize, u64),
+    AtHolder(usize, usize, u64),
+    Answered(usize, usize, u64),
+    Tick,
+    Slow(bool),
+    Restart(usize),
+    Return(usize),
+    HolderDies,
+    HolderTakenOver,
+}
+
+#[derive(Clone, Debug)]
+pub struct CallState {
+    pub entry: usize,
+    pub tier: TierKind,
+    pub arrived_us: u64,
+    pub sent_us: u64,
+    pub pool: usize,
+    is_over: bool,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    running: Vec<usize>,
+    queue: VecDeque<usize>,
+    is_gone: bool,
+    answers_to_warm: usize,
+    life: u64,
+}
+
+pub struct Model<'s> {
+    scenario: &'s Scenario,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    calls: Vec<CallState>,
+    servers: Vec<Server>,
+    placer: Placer,
+    random: StdRng,
+    slow_factor: f64,
+    is_ideal: bool,
+    is_pooled: bool,
+}
+
+pub fn home_of_instance(instance: usize) -> usize {
+    instance % DATA_CENTRES
+}
+
+pub fn home_of_upstream(upstream: usize) -> usize {
+    upstream % DATA_CENTRES
+}
+
+impl<'s> Model<'s> {
+    pub fn new(scenario: &'s Scenario, way: Way, seed: u64) -> Self {
+        let mut model = Self {
+            scenario,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            calls: Vec::new(),
+            servers: (0..UPSTREAMS).map(|_| Server::default()).collect(),
+            placer: Placer::new(way, seed),
+            random: StdRng::seed_from_u64(seed),
+            slow_factor: 1.0,
+            is_ideal: way == Way::Ideal,
+            is_pooled: way == Way::Pools,
+        };
+        model.plan();
+        model
+    }
+
+    fn plan(&mut self) {
+        let slots = (UPSTREAMS * SLOTS) as f64;
+        let plan = |tier: TierKind, share: f64, model: &mut Self| {
+            let gap_us = MEAN_US / (slots * share.max(1e-9));
+            let mut at_us = 0.0;
+            if share <= 0.0 {
+                return;
+            }
+            loop {
+                let uniform: f64 = model.random.random();
+                at_us -= gap_us * (1.0 - uniform).ln();
+                if at_us >= END_US as f64 {
+                    break;
+                }
+                let entry = model.random.random_range(0..INSTANCES);
+                let call = model.calls.len();
+                model.calls.push(CallState {
+                    entry,
+                    tier,
+                    arrived_us: at_us as u64,
+                    sent_us: 0,
+                    pool: 0,
+                    is_over: false,
+                });
+                model.push(at_us as u64, Event::Arrive(call));
+            }
+        };
+        let (paying, trial) = (self.scenario.paying, self.scenario.trial);
+        plan(TierKind::Paying, paying, self);
+        plan(TierKind::Trial, trial, self);
+        for tick in 0..END_US / 25_000 {
+            self.push(tick * 25_000, Event::Tick);
+        }
+        if self.scenario.is_slow {
+            self.push(END_US / 4, Event::Slow(true));
+            self.push(END_US / 2, Event::Slow(false));
+        }
+        if self.scenario.restarts {
+            for upstream in [0, 4, 8] {
+                self.push(END_US / 3, Event::Restart(upstream));
+            }
+        }
+        if self.scenario.holder_dies {
+            self.push(END_US / 2, Event::HolderDies);
+        }
+    }
+
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    pub fn run(mut self, figures: &mut Figures) {
+        while let Some(Reverse((now_us, _, event))) = self.events.pop() {
+            self.step(now_us, event, figures);
+        }
+        for call in &self.calls {
+            if !call.is_over && call.tier == TierKind::Paying {
+                figures.late += 1;
+                figures.paying_us.push(DEADLINE_US);
+            }
+        }
+    }
+
+    fn step(&mut self, now_us: u64, event: Event, figures: &mut Figures) {
+        match event {
+            Event::Arrive(call) => {
+                let actions = self.placer.arrive(now_us, call, &mut self.calls[call]);
+                self.act(now_us, actions, figures);
+            }
+            Event::AtPool(pool, call) => {
+                let actions = self.placer.at_pool(now_us, pool, call, &self.calls[call]);
+                self.act(now_us, actions, figures);
+            }
+            Event::AtUpstream(upstream, call) => self.at_upstream(now_us, upstream, call, figures),
+            Event::Done(upstream, call, life) => self.done(now_us, upstream, call, life),
+            Event::AtHolder(upstream, call, took_us) => {
+                let tier = self.calls[call].tier;
+                let pool = self.calls[call].pool;
+                let actions = self
+                    .placer
+                    .ended(now_us, pool, upstream, tier, Some(took_us));
+                self.act(now_us, actions, figures);
+                let hop = self.hop(self.calls[call].entry, pool);
+                self.push(now_us + hop, Event::Answered(upstream, call, took_us));
+            }
+            Event::Answered(upstream, call, took_us) => {
+                let state = &mut self.calls[call];
+                self.placer.answered(now_us, state, upstream, took_us);
+                state.is_over = true;
+                let total_us = now_us - state.arrived_us;
+                if state.tier == TierKind::Trial {
+                    figures.trials += u64::from(total_us <= DEADLINE_US);
+                } else {
+                    figures.late += u64::from(total_us > DEADLINE_US);
+                    figures.paying_us.push(total_us.min(DEADLINE_US));
+                }
+            }
+            Event::Tick => {
+                let actions = self.placer.tick(now_us);
+                self.act(now_us, actions, figures);
+            }
+            Event::Slow(is_slow) => self.slow_factor = if is_slow { 10.0 } else { 1.0 },
+            Event::Restart(upstream) => self.fall(now_us, upstream, figures),
+            Event::Return(upstream) => {
+                self.servers[upstream].is_gone = false;
+                self.servers[upstream].answers_to_warm = WARM_AFTER;
+            }
+            Event::HolderDies => {
+                let lost = self.placer.holder_dies(now_us);
+                for call in lost {
+                    // The entry sees the cut at once and goes elsewhere.
+                    self.push(now_us + FAR_US, Event::Arrive(call));
+                }
+                self.push(now_us + 100_000, Event::HolderTakenOver);
+            }
+            Event::HolderTakenOver => self.placer.holder_taken_over(now_us),
+        }
+    }
+
+    fn act(&mut self, now_us: u64, actions: Vec<Action>, figures: &mut Figures) {
+        for action in actions {
+            match action {
+                Action::ToPool { pool, call } => {
+                    let hop = self.hop(self.calls[call].entry, pool);
+                    self.push(now_us + hop, Event::AtPool(pool, call));
+                }
+                Action::ToUpstream { upstream, call } => {
+                    self.calls[call].sent_us = now_us;
+                    let from = if self.is_pooled {
+                        self.calls[call].pool
+                    } else {
+                        home_of_instance(self.calls[call].entry)
+                    };
+                    let hop = self.distance(from, home_of_upstream(upstream));
+                    self.push(now_us + hop, Event::AtUpstream(upstream, call));
+                }
+                Action::Refuse { call } => {
+                    let state = &mut self.calls[call];
+                    state.is_over = true;
+                    if state.tier == TierKind::Paying {
+                        figures.refused += 1;
+                        figures.paying_us.push(DEADLINE_US);
+                    }
+                }
+            }
+        }
+    }
+
+    fn distance(&self, from: usize, to: usize) -> u64 {
+        match (self.is_ideal, from == to) {
+            (true, _) => 0,
+            (false, true) => NEAR_US,
+            (false, false) => FAR_US,
+        }
+    }
+
+    fn hop(&self, entry: usize, pool: usize) -> u64 {
+        if !self.is_pooled || self.placer.holds(entry, pool) {
+            return 0;
+        }
+        self.distance(home_of_instance(entry), pool)
+    }
+
+    fn at_upstream(&mut self, now_us: u64, upstream: usize, call: usize, figures: &mut Figures) {
+        let server = &mut self.servers[upstream];
+        if server.is_gone {
+            self.lost(now_us, upstream, call, figures);
+            return;
+        }
+        server.queue.push_back(call);
+        let at_once = server.running.len() + server.queue.len();
+        figures.most = figures.most.max(at_once);
+        if server.answers_to_warm > 0 {
+            figures.most_cold = figures.most_cold.max(at_once);
+            if at_once > COLD_SLOTS {
+                self.fall(now_us, upstream, figures);
+                return;
+            }
+        }
+        self.start(now_us, upstream);
+    }
+
+    fn start(&mut self, now_us: u64, upstream: usize) {
+        while self.servers[upstream].running.len() < SLOTS {
+            let Some(call) = self.servers[upstream].queue.pop_front() else {
+                return;
+            };
+            self.servers[upstream].running.push(call);
+            let factor = if upstream == 0 { self.slow_factor } else { 1.0 };
+            let time_us = (self.service_us() * factor) as u64;
+            let life = self.servers[upstream].life;
+            self.push(now_us + time_us, Event::Done(upstream, call, life));
+        }
+    }
+
+    fn service_us(&mut self) -> f64 {
+        let (first, second): (f64, f64) = (self.random.random(), self.random.random());
+        let normal = (-2.0 * (1.0 - first).ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+        (MEAN_US.ln() - SIGMA * SIGMA / 2.0 + SIGMA * normal).exp()
+    }
+
+    fn done(&mut self, now_us: u64, upstream: usize, call: usize, life: u64) {
+        let server = &mut self.servers[upstream];
+        if server.life != life {
+            return;
+        }
+        server.running.retain(|running| *running != call);
+        server.answers_to_warm = server.answers_to_warm.saturating_sub(1);
+        let took_us = now_us - self.calls[call].sent_us;
+        let home = home_of_upstream(upstream);
+        if self.is_pooled {
+            let hop = self.distance(self.calls[call].pool, home);
+            self.push(now_us + hop, Event::AtHolder(upstream, call, took_us));
+        } else {
+            let hop = self.distance(home, home_of_instance(self.calls[call].entry));
+            self.push(now_us + hop, Event::Answered(upstream, call, took_us));
+        }
+        self.start(now_us, upstream);
+    }
+
+    /// An upstream goes away with all that it runs, and comes back cold.
+    fn fall(&mut self, now_us: u64, upstream: usize, figures: &mut Figures) {
+        let server = &mut self.servers[upstream];
+        server.is_gone = true;
+        server.life += 1;
+        let mut cut = std::mem::take(&mut server.running);
+        cut.extend(std::mem::take(&mut server.queue));
+        self.push(now_us + FALLEN_US, Event::Return(upstream));
+        for call in cut {
+            self.lost(now_us, upstream, call, figures);
+        }
+    }
+
+    /// A call that met no upstream is placed again.
+    fn lost(&mut self, now_us: u64, upstream: usize, call: usize, figures: &mut Figures) {
+        let state = &self.calls[call];
+        let (pool, tier) = (state.pool, state.tier);
+        let actions = self.placer.ended(now_us, pool, upstream, tier, None);
+        self.act(now_us, actions, figures);
+        if now_us - self.calls[call].arrived_us < DEADLINE_US {
+            self.push(now_us + FAR_US, Event::Arrive(call));
+        }
+    }
+}
--- /dev/null
+++ b/benches/placement/ways.rs
@@ -0,0 +1,376 @@
+//! The ways that are compared.
+
+use std::sync::Arc;
+
+use chicorywing::process::choice::{Hints, PoolName};
+use chicorywing::process::lifecycle::Signal;
+use chicorywing::process::members::{Member, View};
+use chicorywing::process::pool::{Decision, Ended, Event, Inherited, Listed, Pool};
+use chicorywing::process::queue::Waiting;
+use chicorywing::version::objects::{Service, TierKind};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::model::{
+    CallState, DATA_CENTRES, DEADLINE_US, INSTANCES, SLOTS, UPSTREAMS, home_of_instance,
+    home_of_upstream,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    RoundRobin,
+    Random,
+    TwoChoices,
+    LeastInFlight,
+    Pools,
+    Ideal,
+}
+
+impl Way {
+    pub fn all() -> [Self; 6] {
+        [
+            Self::RoundRobin,
+            Self::Random,
+            Self::TwoChoices,
+            Self::LeastInFlight,
+            Self::Pools,
+            Self::Ideal,
+        ]
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round robin",
+            Self::Random => "random",
+            Self::TwoChoices => "two choices",
+            Self::LeastInFlight => "least in flight",
+            Self::Pools => "pools (chosen)",
+            Self::Ideal => "one ideal queue",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Action {
+    ToPool { pool: usize, call: usize },
+    ToUpstream { upstream: usize, call: usize },
+    Refuse { call: usize },
+}
+
+pub fn service() -> Arc<Service> {
+    Arc::new(Service {
+        name: "service".into(),
+        slots: SLOTS,
+        cold_slots: 1,
+        run_limit_ms: 500,
+        idempotent_methods: Vec::new(),
+        body_limit_bytes: 0,
+        measuring_permille: 10,
+        probe_cost_ms: 6,
+        health_path: "/health".into(),
+        data_centres: (0..DATA_CENTRES).map(data_centre).collect(),
+    })
+}
+
+fn data_centre(index: usize) -> Arc<str> {
+    format!("dc-{index}").into()
+}
+
+fn pool_name(pool: usize) -> PoolName {
+    PoolName {
+        service: "service".into(),
+        data_centre: data_centre(pool),
+    }
+}
+
+pub fn listed(upstreams: impl Iterator<Item = usize>) -> Vec<Listed> {
+    let listed = upstreams.map(|upstream| Listed {
+        name: format!("up-{upstream}").into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        is_leaving: false,
+    });
+    listed.collect()
+}
+
+fn start_pool(now_us: u64, pool: usize) -> Pool {
+    let mut started = Pool::new(service(), now_us);
+    let upstreams = (0..UPSTREAMS).filter(|upstream| home_of_upstream(*upstream) == pool);
+    started.handle(now_us, Event::Listed(listed(upstreams)), &mut Vec::new());
+    started
+}
+
+/// One way with all its state.
+pub struct Placer {
+    way: Way,
+    random: StdRng,
+    turns: Vec<usize>,
+    in_flight: Vec<Vec<u64>>,
+    loads: Vec<Vec<u64>>,
+    true_load: Vec<u64>,
+    ideal: std::collections::VecDeque<usize>,
+    pools: Vec<Pool>,
+    hints: Vec<Hints>,
+    holders: Vec<usize>,
+    view: View,
+    at_pool: Vec<Vec<usize>>,
+}
+
+impl Placer {
+    pub fn new(way: Way, seed: u64) -> Self {
+        let mut random = StdRng::seed_from_u64(seed ^ 0xabcd);
+        let turns = (0..INSTANCES)
+            .map(|_| random.random_range(0..UPSTREAMS))
+            .collect();
+        let view = View::new((0..INSTANCES).map(member).collect());
+        let mut placer = Self {
+            way,
+            random,
+            turns,
+            in_flight: vec![vec![0; UPSTREAMS]; INSTANCES],
+            loads: vec![vec![0; UPSTREAMS]; INSTANCES],
+            true_load: vec![0; UPSTREAMS],
+            ideal: std::collections::VecDeque::new(),
+            pools: (0..DATA_CENTRES).map(|pool| start_pool(0, pool)).collect(),
+            hints: (0..INSTANCES).map(|_| Hints::default()).collect(),
+            holders: Vec::new(),
+            view,
+            at_pool: vec![Vec::new(); DATA_CENTRES],
+        };
+        placer.find_holders();
+        placer
+    }
+
+    fn find_holders(&mut self) {
+        self.holders.clear();
+        for pool in 0..DATA_CENTRES {
+            let holder = self.view.holder("service", &data_centre(pool)).unwrap();
+            let number = holder.name.trim_start_matches("entry-").parse().unwrap();
+            self.holders.push(number);
+        }
+    }
+
+    pub fn holds(&self, entry: usize, pool: usize) -> bool {
+        self.holders[pool] == entry
+    }
+
+    pub fn arrive(&mut self, now_us: u64, call: usize, state: &mut CallState) -> Vec<Action> {
+        let entry = state.entry;
+        let upstream = match self.way {
+            Way::RoundRobin => {
+                self.turns[entry] = (self.turns[entry] + 1) % UPSTREAMS;
+                self.turns[entry]
+            }
+            Way::Random => self.random.random_range(0..UPSTREAMS),
+            Way::LeastInFlight => self.least_in_flight(entry),
+            Way::TwoChoices => {
+                let first = self.random.random_range(0..UPSTREAMS);
+                let second = self.random.random_range(0..UPSTREAMS);
+                let load =
+                    |upstream: usize| self.loads[entry][upstream] + self.in_flight[entry][upstream];
+                if load(second) < load(first) {
+                    second
+                } else {
+                    first
+                }
+            }
+            Way::Ideal => {
+                self.ideal.push_back(call);
+                return self.serve_ideal();
+            }
+            Way::Pools => return self.choose_pool(now_us, call, state),
+        };
+        self.in_flight[entry][upstream] += 1;
+        self.true_load[upstream] += 1;
+        vec![Action::ToUpstream { upstream, call }]
+    }
+
+    fn least_in_flight(&mut self, entry: usize) -> usize {
+        let start = self.random.random_range(0..UPSTREAMS);
+        let order = (0..UPSTREAMS).map(|step| (start + step) % UPSTREAMS);
+        order
+            .min_by_key(|upstream| self.in_flight[entry][*upstream])
+            .unwrap_or(0)
+    }
+
+    fn serve_ideal(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while !self.ideal.is_empty() {
+            let free = (0..UPSTREAMS).min_by_key(|upstream| self.true_load[*upstream]);
+            let Some(upstream) = free.filter(|found| self.true_load[*found] < SLOTS as u64) else {
+                break;
+            };
+            self.true_load[upstream] += 1;
+            if let Some(call) = self.ideal.pop_front() {
+                actions.push(Action::ToUpstream { upstream, call });
+            }
+        }
+        actions
+    }
+
+    fn choose_pool(&mut self, now_us: u64, call: usize, state: &mut CallState) -> Vec<Action> {
+        let names: Vec<PoolName> = (0..DATA_CENTRES).map(pool_name).collect();
+        let home = data_centre(home_of_instance(state.entry));
+        let hints = &mut self.hints[state.entry];
+        let Some(chosen) = hints.choose(now_us, &names, &home, &mut self.random) else {
+            return vec![Action::Refuse { call }];
+        };
+        let pool = names.iter().position(|name| *name == chosen).unwrap_or(0);
+        hints.on_sent(&chosen);
+        state.pool = pool;
+        vec![Action::ToPool { pool, call }]
+    }
+
+    pub fn at_pool(
+        &mut self,
+        now_us: u64,
+        pool: usize,
+        call: usize,
+        state: &CallState,
+    ) -> Vec<Action> {
+        let waiting = Waiting {
+            ticket: call as u64,
+            organisation: if state.tier.is_trial() {
+                "trial"
+            } else {
+                "payer"
+            }
+            .into(),
+            tier: state.tier,
+            deadline_us: state.arrived_us + DEADLINE_US,
+            arrived_us: now_us,
+            avoid: None,
+            fingerprint: call as u64,
+        };
+        self.drive(now_us, pool, Event::Arrived(waiting))
+    }
+
+    fn drive(&mut self, now_us: u64, pool: usize, event: Event) -> Vec<Action> {
+        let mut decisions = Vec::new();
+        self.pools[pool].handle(now_us, event, &mut decisions);
+        let mut actions = Vec::new();
+        for decision in decisions {
+            match decision {
+                Decision::Send {
+                    waiting, upstream, ..
+                } => {
+                    let (name, _) = self.pools[pool].upstream(upstream);
+                    let upstream = name.trim_start_matches("up-").parse().unwrap();
+                    let call = waiting.ticket as usize;
+                    self.at_pool[pool].push(call);
+                    actions.push(Action::ToUpstream { upstream, call });
+                }
+                Decision::Refuse { waiting, .. } => actions.push(Action::Refuse {
+                    call: waiting.ticket as usize,
+                }),
+                Decision::Probe { upstream } => {
+                    let healthy = true;
+                    self.pools[pool].handle(
+                        now_us,
+                        Event::Probed { upstream, healthy },
+                        &mut Vec::new(),
+                    );
+                }
+            }
+        }
+        actions
+    }
+
+    /// An upstream has ended a call; `None` where it was gone.
+    pub fn ended(
+        &mut self,
+        now_us: u64,
+        pool: usize,
+        upstream: usize,
+        tier: TierKind,
+        took_us: Option<u64>,
+    ) -> Vec<Action> {
+        if self.way != Way::Pools {
+            return Vec::new();
+        }
+        let name = format!("up-{upstream}");
+        let Some(index) = self.pools[pool].index_of(&name) else {
+            return Vec::new();
+        };
+        if self.pools[pool].view()[index].in_flight == 0 {
+            // The holder that sent it is dead.
+            return Vec::new();
+        }
+        let ended = Ended {
+            upstream: index,
+            signal: Some(took_us.map_or(Signal::Unconnected, |_| Signal::Answered)),
+            took_us: took_us.unwrap_or(0),
+            tier,
+            fingerprint: 0,
+        };
+        self.drive(now_us, pool, Event::Ended(ended))
+    }
+
+    pub fn answered(&mut self, now_us: u64, state: &CallState, upstream: usize, took_us: u64) {
+        let entry = state.entry;
+        match self.way {
+            Way::Pools => {
+                let pool = &self.pools[state.pool];
+                let wait_us = pool.expected_wait_us(state.tier, "payer");
+                self.hints[entry].on_answered(now_us, &pool_name(state.pool), wait_us);
+            }
+            Way::Ideal => self.true_load[upstream] -= 1,
+            _ => {
+                let in_flight = &mut self.in_flight[entry][upstream];
+                *in_flight = in_flight.saturating_sub(1);
+                self.true_load[upstream] = self.true_load[upstream].saturating_sub(1);
+                self.loads[entry][upstream] = self.true_load[upstream];
+            }
+        }
+        let _ = took_us;
+    }
+
+    pub fn tick(&mut self, now_us: u64) -> Vec<Action> {
+        match self.way {
+            Way::Pools => {
+                let mut actions = Vec::new();
+                for pool in 0..DATA_CENTRES {
+                    actions.extend(self.drive(now_us, pool, Event::Tick));
+                }
+                actions
+            }
+            Way::Ideal => self.serve_ideal(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The holder of pool 0 dies: its calls are lost, its memory too.
+    pub fn holder_dies(&mut self, now_us: u64) -> Vec<usize> {
+        if self.way != Way::Pools {
+            return Vec::new();
+        }
+        let dead = format!("entry-{}", self.holders[0]);
+        let mut members = self.view.members().to_vec();
+        members.retain(|member| *member.name != *dead);
+        self.view = View::new(members);
+        self.find_holders();
+        self.pools[0] = start_pool(now_us, 0);
+        let inherited = Inherited {
+            upstream: None,
+            calls: None,
+            is_warm: false,
+            until_us: now_us + 100_000,
+        };
+        self.pools[0].handle(now_us, Event::Inherited(inherited), &mut Vec::new());
+        Vec::new()
+    }
+
+    pub fn holder_taken_over(&mut self, now_us: u64) {
+        if self.way == Way::Pools {
+            self.pools[0].handle(now_us, Event::Tick, &mut Vec::new());
+        }
+    }
+}
+
+fn member(instance: usize) -> Arc<Member> {
+    Arc::new(Member {
+        name: format!("entry-{instance}").into(),
+        incarnation: instance as u64,
+        data_centre: data_centre(home_of_instance(instance)),
+        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+    })
+}
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -35,9 +35,8 @@
 /// What one attempt showed and how it ended.
 #[derive(Debug)]
 pub struct Report {
-    /// What it showed of the upstream; `None` where the caller's deadline cut
-    /// it short before the upstream's time was over.
-    pub signal: Option<Signal>,
+    /// What it showed of the upstream.
+    pub signal: Signal,
     /// How it ended.
     pub end: End,
 }
@@ -60,6 +59,8 @@
     pub run_until: Instant,
     /// Largest body of the answer.
     pub body_limit_bytes: usize,
+    /// Whether a fresh connection must be made.
+    pub must_connect: bool,
 }
 
 impl Upstreams {
@@ -72,6 +73,9 @@
         context: &str,
         limits: AttemptLimits,
     ) -> Report {
+        if limits.must_connect {
+            self.forget(address);
+        }
         let client = self.client(address);
         let until = limits.deadline.min(limits.run_until);
         let request = build(&client, address, attempt.call(), context, until);
@@ -90,7 +94,7 @@
             Err(_) => Failure::Silent,
         };
         if failure == Failure::NotConnected {
-            return report(Signal::Reset, End::NotStarted(sent.refused()));
+            return report(Signal::Unconnected, End::NotStarted(sent.refused()));
         }
         if failure == Failure::Silent {
             self.forget(address);
@@ -162,13 +166,14 @@
         }
     }
 
-    fn signal(self) -> Option<Signal> {
+    fn signal(self) -> Signal {
         match self {
-            Self::NotConnected | Self::Cut => Some(Signal::Reset),
-            Self::Broken => Some(Signal::Errored),
-            Self::TooLarge => Some(Signal::Answered),
-            Self::Silent => Some(Signal::Silent),
-            Self::Deadline => None,
+            Self::NotConnected => Signal::Unconnected,
+            Self::Cut => Signal::Reset,
+            Self::Broken => Signal::Errored,
+            Self::TooLarge => Signal::Answered,
+            Self::Silent => Signal::Silent,
+            Self::Deadline => Signal::Cancelled,
         }
     }
 }
@@ -179,10 +184,7 @@
 }
 
 fn report(signal: Signal, end: End) -> Report {
-    Report {
-        signal: Some(signal),
-        end,
-    }
+    Report { signal, end }
 }
 
 fn build(
--- a/src/connection/wire.rs
+++ b/src/connection/wire.rs
@@ -151,6 +151,8 @@
     async fn join(member: Arc<Member>) -> Lesson;
     /// Gives a pool up for the caller.
     async fn release(pool: PoolName) -> Released;
+    /// Tells what still runs in a pool that was given up.
+    async fn running(pool: PoolName) -> Released;
     /// Tells the version in force and the list.
     async fn snapshot() -> Snapshot;
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -150,7 +150,7 @@
     let path_and_query = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let (service, path) = split_path(&objects, path_and_query)?;
     let owner = find_owner(node, &objects, &parts.headers)?;
-    let timeout_header = parts.headers.get(headers::TIMEOUT_MS);
+    let timeout_header = find_single(&parts.headers, headers::TIMEOUT_MS)?;
     let timeout_ms = headers::parse_timeout_ms(timeout_header.map(HeaderValue::as_bytes))?;
     let is_idempotent = service.is_idempotent(parts.method.as_str());
     let key = find_key(&parts.headers)?;
@@ -239,12 +239,25 @@
 }
 
 fn find_key(map: &HeaderMap) -> Result<Option<Arc<str>>, EntryError> {
-    let Some(value) = map.get(headers::IDEMPOTENCY_KEY) else {
+    let Some(value) = find_single(map, headers::IDEMPOTENCY_KEY)? else {
         return Ok(None);
     };
     Ok(Some(headers::parse_key(value.as_bytes())?.into()))
 }
 
+/// The value of a header that may stand once.
+fn find_single<'m>(
+    map: &'m HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'m HeaderValue>, HeaderError> {
+    let mut values = map.get_all(name).iter();
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(HeaderError::Repeated(name));
+    }
+    Ok(first)
+}
+
 /// Drops the headers that `Connection` names (RFC 9110, section 7.6.1), and
 /// the key, which travels on its own.
 fn without_connection_options(mut map: HeaderMap) -> HeaderMap {
--- a/src/process/holder.rs
+++ b/src/process/holder.rs
@@ -14,7 +14,9 @@
 use super::metrics::Counter;
 use super::node::Node;
 use super::pool::{Inherited, RefuseReason};
-use super::pool_actor::{Inherit, Placed, PoolActor, Release, Reopen, Slot, Submit, Withdraw};
+use super::pool_actor::{
+    Inherit, Placed, PoolActor, Release, Reopen, Running, Slot, Submit, Withdraw,
+};
 use super::queue::Waiting;
 use crate::connection::peer::PeerError;
 use crate::connection::upstream::{AttemptLimits, End};
@@ -83,7 +85,7 @@
     node: &Arc<Node>,
     run: &Run,
     attempt: Attempt<Held>,
-    slot: Slot,
+    mut slot: Slot,
     deadline: Instant,
 ) -> End {
     let objects = node.objects();
@@ -94,6 +96,7 @@
         deadline,
         run_until: Instant::now() + Duration::from_millis(service.run_limit_ms),
         body_limit_bytes: service.body_limit_bytes,
+        must_connect: slot.is_suspect,
     };
     let context = Context {
         organisation: Arc::clone(&run.call.organisation),
@@ -102,12 +105,11 @@
     };
     let context = context.sign(&node.config.context_secret);
     let upstreams = &node.upstreams;
+    slot.begin();
     let report = upstreams
         .run(&slot.name, slot.address, attempt, &context, limits)
         .await;
-    if let Some(signal) = report.signal {
-        tracing::debug!(target: "upstream", upstream = %slot.name, %signal);
-    }
+    tracing::debug!(target: "upstream", upstream = %slot.name, signal = %report.signal);
     slot.end(report.signal);
     report.end
 }
@@ -292,11 +294,12 @@
             };
             let _ = actor.tell(Inherit(inherited)).try_send();
         }
-        if running == 0 || node.clock.now_us() >= until_us {
+        let is_over = running == 0 || node.clock.now_us() >= until_us;
+        if is_over || !is_holder(node, name) {
             return;
         }
         sleep(RELEASE_INTERVAL).await;
-        match ask_release(node, name, member).await {
+        match ask_running(node, name, member).await {
             Ok(next) => answer = next,
             Err(_) => return,
         }
@@ -313,6 +316,16 @@
         .await
 }
 
+async fn ask_running(node: &Node, name: &PoolName, member: &Member) -> Result<Released, PeerError> {
+    let deadline = Instant::now() + RELEASE_LIMIT;
+    let name = name.clone();
+    node.peers
+        .call(member.address, deadline, |client, context| async move {
+            client.running(context, name).await
+        })
+        .await
+}
+
 /// Who may have held the pool by a recent view.
 fn predecessors(node: &Node, name: &PoolName) -> Vec<Arc<Member>> {
     let now_ms = node.clock.now_ms();
@@ -344,6 +357,17 @@
     Released { upstreams }
 }
 
+/// Tells what still runs in a pool of this instance.
+pub async fn running(node: &Arc<Node>, name: &PoolName) -> Released {
+    let Some(actor) = node.pool(name) else {
+        return Released {
+            upstreams: Vec::new(),
+        };
+    };
+    let upstreams = actor.ask(Running).await.unwrap_or_default();
+    Released { upstreams }
+}
+
 fn to_not_run(reason: RefuseReason) -> NotRunReason {
     match reason {
         RefuseReason::Overloaded => NotRunReason::Overloaded,
--- a/src/process/keyed.rs
+++ b/src/process/keyed.rs
@@ -22,6 +22,8 @@
 
 /// Times that an entry instance looks for the first of a key's pair.
 const TRIES_MAX: usize = 6;
+/// Times that the others are asked about a key.
+const CLEAR_TRIES: usize = 8;
 /// Pause for the view to change.
 const VIEW_PAUSE: Duration = Duration::from_millis(25);
 /// Time in which a claim must be answered.
@@ -162,14 +164,16 @@
     Cleared,
     /// It must not, and this is the answer.
     Barred(Outcome),
+    /// Too few could be asked for now.
+    Uncovered(Outcome),
 }
 
 impl KeyedRun {
     async fn execute(self, sender: watch::Sender<Option<Arc<Outcome>>>) {
         let mut granted = Vec::new();
-        let outcome = match self.clear(&mut granted).await {
+        let outcome = match self.clear_in_time(&mut granted).await {
             Clearance::Cleared => place(&self.node, Arc::clone(&self.call), self.deadline).await,
-            Clearance::Barred(outcome) => {
+            Clearance::Barred(outcome) | Clearance::Uncovered(outcome) => {
                 self.give_up(sender, granted, outcome).await;
                 return;
             }
@@ -209,6 +213,21 @@
         self.tell(granted, &released).await;
     }
 
+    /// Asks again while too few can be asked, since the view may be about to
+    /// change.
+    async fn clear_in_time(&self, granted: &mut Vec<Arc<Member>>) -> Clearance {
+        let mut clearance = self.clear(granted).await;
+        for _ in 1..CLEAR_TRIES {
+            let is_final = !matches!(clearance, Clearance::Uncovered(_));
+            if is_final || Instant::now() + VIEW_PAUSE >= self.deadline {
+                break;
+            }
+            sleep(VIEW_PAUSE).await;
+            clearance = self.clear(granted).await;
+        }
+        clearance
+    }
+
     /// Asks all who may know the key, and claims it with them.
     async fn clear(&self, granted: &mut Vec<Arc<Member>>) -> Clearance {
         let node = &self.node;
@@ -253,6 +272,7 @@
         let mut barred = None;
         for (member, answer) in asked.iter().zip(answers) {
             match answer {
+                Some(Claim::Granted) if granted.contains(member) => {}
                 Some(Claim::Granted) => granted.push(Arc::clone(member)),
                 Some(other) => barred = Some(other),
                 None => {}
@@ -262,7 +282,8 @@
             return Clearance::Barred(to_outcome(claim));
         }
         if !self.is_covered(&views, hash, granted) {
-            return records_lost();
+            let outcome = Outcome::unknown(UnknownReason::RecordsLost, ASK_AGAIN_MS);
+            return Clearance::Uncovered(outcome);
         }
         Clearance::Cleared
     }
--- a/src/process/lifecycle.rs
+++ b/src/process/lifecycle.rs
@@ -16,7 +16,7 @@
 /// Length of the first ejection.
 const FIRST_EJECTION_US: u64 = 100_000;
 /// Length of the longest ejection.
-const LAST_EJECTION_US: u64 = 5_000_000;
+const LAST_EJECTION_US: u64 = 2_000_000;
 
 /// What one call showed about its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -32,20 +32,47 @@
     Errored,
     /// It refused before starting.
     Refused,
-    /// The connection failed or was cut.
+    /// No connection stood.
+    Unconnected,
+    /// The connection was cut during a run.
     Reset,
     /// No answer came within the run limit.
     Silent,
+    /// The caller went away or its deadline passed: the call may still run.
+    Cancelled,
 }
 
 impl Signal {
+    /// Whether the upstream gave a whole answer.
+    #[must_use]
+    pub fn is_answer(self) -> bool {
+        matches!(
+            self,
+            Self::Answered | Self::AnsweredSlowly | Self::AnsweredOverloaded | Self::Errored
+        )
+    }
+
+    /// Whether the call may still run after its slot was given back.
+    #[must_use]
+    pub fn may_run_on(self) -> bool {
+        matches!(self, Self::Silent | Self::Cancelled)
+    }
+
     fn is_failure(self) -> bool {
-        matches!(self, Self::Errored | Self::Reset | Self::Silent)
+        matches!(
+            self,
+            Self::Errored | Self::Unconnected | Self::Reset | Self::Silent
+        )
     }
 
     fn is_refusal(self) -> bool {
         self == Self::Refused
     }
+
+    /// Whether no call can start there, so that one more would be in vain.
+    fn is_absence(self) -> bool {
+        self == Self::Unconnected
+    }
 }
 
 /// An upstream whose concurrency is still rising on evidence.
@@ -116,6 +143,7 @@
             return self.on_failure(signal, now_us, limits);
         }
         self.failures = 0;
+        self.ejections = 0;
         if signal != Signal::Answered {
             return Life::Cold(self);
         }
@@ -136,10 +164,11 @@
         self.limit = limits.cold_slots;
         self.answers = 0;
         self.failures += u32::from(signal.is_failure());
-        if self.failures < FAILURES_TO_EJECT || !limits.may_eject {
-            return Life::Cold(self);
+        let has_failed = self.failures >= FAILURES_TO_EJECT && limits.may_eject;
+        if signal.is_absence() || has_failed {
+            return Life::Ejected(Ejected::new(now_us, self.ejections + 1));
         }
-        Life::Ejected(Ejected::new(now_us, self.ejections + 1))
+        Life::Cold(self)
     }
 }
 
@@ -157,7 +186,8 @@
         self.failures = count_run(self.failures, signal.is_failure());
         self.refusals = count_run(self.refusals, signal.is_refusal());
         self.slow_answers = count_run(self.slow_answers, slow);
-        if self.failures >= FAILURES_TO_EJECT && limits.may_eject {
+        let has_failed = self.failures >= FAILURES_TO_EJECT && limits.may_eject;
+        if signal.is_absence() || has_failed {
             return Life::Ejected(Ejected::new(now_us, 1));
         }
         let is_cut = signal == Signal::Reset;
--- a/src/process/listing.rs
+++ b/src/process/listing.rs
@@ -63,6 +63,6 @@
         }
     }
     node.members().on_listed(node.clock.now_ms(), entries);
-    node.list.store(Some(Arc::new(HeldList { text, list })));
+    node.list.store(Some(Arc::new(HeldList::new(text, list))));
     node.update_pools();
 }
--- a/src/process/logs.rs
+++ b/src/process/logs.rs
@@ -9,7 +9,9 @@
 ///
 /// A filter that cannot be read falls back to `info`.
 pub fn init(config: &Config) {
-    let filter = EnvFilter::try_new(&*config.log_filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    // The spans of tarpc would stand before each line of a call.
+    let filter = format!("{},tarpc=off", config.log_filter);
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
     let builder = fmt().with_env_filter(filter).with_writer(std::io::stderr);
     let started = match config.log_format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
--- a/src/process/members.rs
+++ b/src/process/members.rs
@@ -117,9 +117,20 @@
 struct Heard {
     member: Arc<Member>,
     heard_ms: u64,
+    /// Time of the last silence; only later signs of life count.
+    silent_ms: Option<u64>,
     is_leaving: bool,
 }
 
+impl Heard {
+    fn is_silent(&self, now_ms: u64) -> bool {
+        let is_mute = self
+            .silent_ms
+            .is_some_and(|silent_ms| self.heard_ms <= silent_ms);
+        is_mute || now_ms.saturating_sub(self.heard_ms) >= SILENCE_LIMIT_MS
+    }
+}
+
 /// What this instance knows of the others.
 #[derive(Debug)]
 pub struct Members {
@@ -131,7 +142,15 @@
     view: Arc<View>,
     past: VecDeque<(u64, Arc<View>)>,
     gone_ms: HashMap<u64, u64>,
-    lost: Vec<LostView>,
+    losses: Vec<Loss>,
+}
+
+/// A [`LostView`] as this instance keeps it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Loss {
+    view: View,
+    lost: Vec<u64>,
+    lost_ms: u64,
 }
 
 /// A view of which two processes were lost at nearly the same time.
@@ -160,7 +179,7 @@
             listed: Vec::new(),
             past: VecDeque::new(),
             gone_ms: HashMap::new(),
-            lost: Vec::new(),
+            losses: Vec::new(),
         }
     }
 
@@ -169,35 +188,45 @@
     /// Ages are relative to `now_ms`.
     #[must_use]
     pub fn lost_views(&self, now_ms: u64) -> Vec<LostView> {
-        let mut views = self.lost.clone();
-        for view in &mut views {
-            view.age_ms = now_ms.saturating_sub(view.age_ms);
+        let mut views = Vec::with_capacity(self.losses.len());
+        for loss in &self.losses {
+            views.push(LostView {
+                view: loss.view.clone(),
+                lost: loss.lost.clone(),
+                age_ms: now_ms.saturating_sub(loss.lost_ms),
+            });
         }
         views
     }
 
     /// Takes over the lost views that a peer tells of.
     pub fn on_lost_views(&mut self, now_ms: u64, views: Vec<LostView>) {
-        for mut view in views {
-            view.age_ms = now_ms.saturating_sub(view.age_ms);
-            let is_known = self.lost.iter().any(|known| known.lost == view.lost);
-            if !is_known {
-                self.lost.push(view);
-            }
+        for told in views {
+            self.note_loss(Loss {
+                view: told.view,
+                lost: told.lost,
+                lost_ms: now_ms.saturating_sub(told.age_ms),
+            });
         }
     }
 
     /// Time since both who knew a key were lost together, if they were.
     #[must_use]
     pub fn lost_for_ms(&self, now_ms: u64, key: u64) -> Option<u64> {
-        for lost in &self.lost {
-            let pair = lost.view.pair(key);
-            let is_lost = |member: &Arc<Member>| lost.lost.contains(&member.incarnation);
-            if !pair.is_empty() && pair.iter().all(is_lost) {
-                return Some(now_ms.saturating_sub(lost.age_ms));
+        let mut shortest_ms: Option<u64> = None;
+        for loss in &self.losses {
+            let pair = loss.view.pair(key);
+            let is_lost = |member: &Arc<Member>| loss.lost.contains(&member.incarnation);
+            if pair.is_empty() || !pair.iter().all(is_lost) {
+                continue;
+            }
+            let age_ms = now_ms.saturating_sub(loss.lost_ms);
+            if age_ms >= super::keys::RETENTION_MS {
+                continue;
             }
+            shortest_ms = Some(shortest_ms.map_or(age_ms, |known| known.min(age_ms)));
         }
-        None
+        shortest_ms
     }
 
     /// Joins: the view without this process counts as an earlier one.
@@ -270,6 +299,9 @@
             if hearsay.len() >= most || age_ms >= SILENCE_LIMIT_MS {
                 break;
             }
+            if heard.is_silent(now_ms) {
+                continue;
+            }
             hearsay.push(Hearsay {
                 member: Arc::clone(&heard.member),
                 age_ms,
@@ -338,6 +370,7 @@
             let heard = Heard {
                 member: Arc::clone(&told.member),
                 heard_ms,
+                silent_ms: None,
                 is_leaving: told.is_leaving,
             };
             self.heard.insert(Arc::clone(&told.member.name), heard);
@@ -354,7 +387,7 @@
     /// A call and a fresh connection both got no answer.
     pub fn on_silent(&mut self, now_ms: u64, member: &Member) -> bool {
         if let Some(heard) = self.heard.get_mut(&member.name) {
-            heard.heard_ms = heard.heard_ms.min(now_ms.saturating_sub(SILENCE_LIMIT_MS));
+            heard.silent_ms = Some(now_ms);
         }
         self.renew(now_ms)
     }
@@ -372,8 +405,7 @@
             members.push(Arc::clone(&self.me));
         }
         for heard in self.heard.values() {
-            let is_silent = now_ms.saturating_sub(heard.heard_ms) >= SILENCE_LIMIT_MS;
-            if is_silent || heard.is_leaving || self.is_dead(&heard.member) {
+            if heard.is_silent(now_ms) || heard.is_leaving || self.is_dead(&heard.member) {
                 continue;
             }
             members.push(Arc::clone(&heard.member));
@@ -406,23 +438,33 @@
                 }
             }
         }
-        if self.gone_ms.len() < 2 {
-            return;
+        self.losses
+            .retain(|known| now_ms.saturating_sub(known.lost_ms) < super::keys::RETENTION_MS);
+        let mut losses = Vec::new();
+        for (_, view) in &self.past {
+            let mut lost: Vec<u64> = Vec::new();
+            for member in view.members() {
+                if self.gone_ms.contains_key(&member.incarnation) {
+                    lost.push(member.incarnation);
+                }
+            }
+            if lost.len() >= 2 {
+                losses.push(Loss {
+                    view: (**view).clone(),
+                    lost,
+                    lost_ms: now_ms,
+                });
+            }
+        }
+        for loss in losses {
+            self.note_loss(loss);
         }
-        let mut lost: Vec<u64> = self.gone_ms.keys().copied().collect();
-        lost.sort_unstable();
-        let Some((_, view)) = self.past.back() else {
-            return;
-        };
-        let found = LostView {
-            view: (**view).clone(),
-            lost,
-            age_ms: now_ms,
-        };
-        self.lost
-            .retain(|known| now_ms.saturating_sub(known.age_ms) < super::keys::RETENTION_MS);
-        if !self.lost.iter().any(|known| known.lost == found.lost) {
-            self.lost.push(found);
+    }
+
+    fn note_loss(&mut self, loss: Loss) {
+        let is_same = |known: &Loss| known.lost == loss.lost && known.view == loss.view;
+        if !self.losses.iter().any(is_same) {
+            self.losses.push(loss);
         }
     }
 }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -1,6 +1,6 @@
 //! The state that all parts of a process share.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -49,6 +49,34 @@
     pub text: Arc<str>,
     /// The same, read.
     pub list: InstanceList,
+    /// Pools that have an upstream which is not leaving.
+    served: HashSet<PoolName>,
+}
+
+impl HeldList {
+    /// A copy of the list.
+    #[must_use]
+    pub fn new(text: Arc<str>, list: InstanceList) -> Self {
+        let mut served = HashSet::new();
+        for instance in &list.instances {
+            let Some(service) = &instance.service else {
+                continue;
+            };
+            if instance.role == Role::Upstream && !instance.state.is_leaving() {
+                served.insert(PoolName {
+                    service: Arc::clone(service),
+                    data_centre: Arc::clone(&instance.data_centre),
+                });
+            }
+        }
+        Self { text, list, served }
+    }
+
+    /// Whether a pool has an upstream which is not leaving.
+    #[must_use]
+    pub fn serves(&self, pool: &PoolName) -> bool {
+        self.served.contains(pool)
+    }
 }
 
 /// Follows the run of a keyed call.
--- a/src/process/peer_server.rs
+++ b/src/process/peer_server.rs
@@ -76,6 +76,10 @@
         holder::release(&self.node, &pool).await
     }
 
+    async fn running(self, _: context::Context, pool: PoolName) -> Released {
+        holder::running(&self.node, &pool).await
+    }
+
     async fn snapshot(self, _: context::Context) -> Snapshot {
         let accepted = self.node.accepted.load_full();
         let now_ms = self.node.clock.now_ms();
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -19,7 +19,7 @@
 use crate::request::outcome::{NotRunReason, Outcome, UnknownReason};
 
 /// Rounds in which a call may look for a pool.
-const ROUNDS_MAX: usize = 12;
+const ROUNDS_MAX: usize = 60;
 /// Pools that may turn a call down before it is given up.
 const SPILLS_MAX: usize = 1;
 /// Attempts of a call that may be repeated.
@@ -33,6 +33,7 @@
     node: &'n Arc<Node>,
     deadline: Instant,
     tried: Vec<(PoolName, u64)>,
+    lost: Vec<PoolName>,
     avoid: Option<Arc<str>>,
     spills: usize,
     attempts: usize,
@@ -50,6 +51,7 @@
         node,
         deadline,
         tried: Vec::new(),
+        lost: Vec::new(),
         avoid: call.avoid.clone(),
         spills: 0,
         attempts: 0,
@@ -75,12 +77,15 @@
             return Step::Over(attempt.give_up(NotRunReason::NoService, 0));
         };
         let mut pools = Vec::with_capacity(service.data_centres.len());
+        let list = node.list.load_full();
         for data_centre in &service.data_centres {
-            if objects.takes_work(data_centre) {
-                pools.push(PoolName {
-                    service: Arc::clone(&service.name),
-                    data_centre: Arc::clone(data_centre),
-                });
+            let pool = PoolName {
+                service: Arc::clone(&service.name),
+                data_centre: Arc::clone(data_centre),
+            };
+            let is_served = list.as_ref().is_some_and(|list| list.serves(&pool));
+            if is_served && objects.takes_work(data_centre) {
+                pools.push(pool);
             }
         }
         if pools.is_empty() {
@@ -92,6 +97,10 @@
             view.holder(&pool.service, &pool.data_centre)
                 .is_some_and(|holder| !self.has_tried(pool, holder))
         });
+        // An attempt was lost in one pool: rather another one, if there is.
+        if pools.iter().any(|pool| !self.lost.contains(pool)) {
+            pools.retain(|pool| !self.lost.contains(pool));
+        }
         let chosen = {
             let home = &node.config.data_centre;
             let now_us = node.clock.now_us();
@@ -139,8 +148,9 @@
         let now_us = node.clock.now_us();
         match answer {
             Ok(ran) if ran.is_elsewhere => {
-                node.hints().on_answered(now_us, pool, 0);
-                self.tried.push((pool.clone(), holder.incarnation));
+                // The views differ; they will agree shortly.
+                node.hints().on_failed(now_us, pool);
+                sleep(VIEW_PAUSE).await;
                 Step::Next(sent.refused())
             }
             Ok(ran) => {
@@ -156,6 +166,7 @@
                     }
                     Outcome::Unknown { reason, .. } => {
                         self.avoid = ran.upstream;
+                        self.lost.push(pool.clone());
                         match sent.lost(reason) {
                             Ok(held) => self.retry(held, reason),
                             Err(outcome) => Step::Over(outcome),
@@ -165,7 +176,6 @@
             }
             Err(error) => {
                 node.hints().on_failed(now_us, pool);
-                self.tried.push((pool.clone(), holder.incarnation));
                 node.verify(holder, &error).await;
                 if error.is_unsent() {
                     return Step::Next(sent.refused());
@@ -204,7 +214,9 @@
         if !is_local || self.spills == SPILLS_MAX || !has_other {
             return Step::Over(held.give_up(reason, retry_after_ms));
         }
-        self.spills += 1;
+        // A pool whose upstreams take nothing has no queue that others share.
+        let is_free = matches!(reason, NotRunReason::NoUpstream | NotRunReason::Refused);
+        self.spills += usize::from(!is_free);
         Step::Next(held)
     }
 
--- a/src/process/poison.rs
+++ b/src/process/poison.rs
@@ -6,6 +6,8 @@
 pub const STRIKES: u32 = 2;
 /// Time after which a strike is forgotten.
 pub const FORGET_AFTER_US: u64 = 120_000_000;
+/// Time in which cut connections to one upstream show the same crash.
+const SAME_CRASH_US: u64 = 1_000_000;
 /// Requests that are remembered at once.
 const MOST_REMEMBERED: usize = 4096;
 
@@ -13,6 +15,7 @@
 struct Suspicion {
     strikes: u32,
     last_us: u64,
+    last_upstream: Option<usize>,
     running: u32,
 }
 
@@ -22,6 +25,17 @@
     suspicions: HashMap<u64, Suspicion>,
 }
 
+/// How a run ended, as far as suspicion goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The upstream answered.
+    Answered,
+    /// The connection to this upstream was cut during the run.
+    Cut(usize),
+    /// Neither.
+    Other,
+}
+
 /// One fingerprint with its strikes, as told to peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Strike {
@@ -39,11 +53,11 @@
             .is_some_and(|found| found.strikes >= STRIKES)
     }
 
-    /// Whether the request may start now: one with a strike runs alone.
+    /// Whether a copy of the request must wait: one with a strike runs alone.
     #[must_use]
-    pub fn may_start(&self, fingerprint: u64, now_us: u64) -> bool {
+    pub fn must_wait(&self, fingerprint: u64, now_us: u64) -> bool {
         self.fresh(fingerprint, now_us)
-            .is_none_or(|found| found.strikes < STRIKES && found.running == 0)
+            .is_some_and(|found| found.strikes > 0 && found.running > 0)
     }
 
     /// Counts a start of a request that has a strike already.
@@ -54,13 +68,34 @@
     }
 
     /// Counts the end of a run.
-    pub fn on_end(&mut self, fingerprint: u64, was_cut: bool, now_us: u64) {
+    pub fn on_end(&mut self, fingerprint: u64, end: RunEnd, now_us: u64) {
         if let Some(found) = self.suspicions.get_mut(&fingerprint) {
             found.running = found.running.saturating_sub(1);
         }
-        if was_cut {
-            let strikes = self.strikes(fingerprint, now_us) + 1;
-            self.learn(fingerprint, strikes, now_us);
+        match end {
+            RunEnd::Answered => {
+                // What crashes upstreams does not answer; the cut connection
+                // had another cause.
+                self.suspicions.remove(&fingerprint);
+            }
+            RunEnd::Cut(upstream) => self.on_cut(fingerprint, upstream, now_us),
+            RunEnd::Other => {}
+        }
+    }
+
+    /// Copies that ran at one upstream when it went count as one strike.
+    fn on_cut(&mut self, fingerprint: u64, upstream: usize, now_us: u64) {
+        let is_same = self.fresh(fingerprint, now_us).is_some_and(|found| {
+            let is_recent = now_us.saturating_sub(found.last_us) < SAME_CRASH_US;
+            is_recent && found.last_upstream == Some(upstream)
+        });
+        if is_same {
+            return;
+        }
+        let strikes = self.strikes(fingerprint, now_us) + 1;
+        self.learn(fingerprint, strikes, now_us);
+        if let Some(found) = self.suspicions.get_mut(&fingerprint) {
+            found.last_upstream = Some(upstream);
         }
     }
 
@@ -73,6 +108,7 @@
         let found = self.suspicions.entry(fingerprint).or_insert(Suspicion {
             strikes: 0,
             last_us: now_us,
+            last_upstream: None,
             running: 0,
         });
         if now_us.saturating_sub(found.last_us) >= FORGET_AFTER_US {
--- /dev/null
+++ b/src/process/pool/upstreams.rs
@@ -0,0 +1,521 @@
+//! The upstreams of one pool: their limits, times and order.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::events::{Decision, Inherited, Listed};
+use crate::process::budget::TimeBudget;
+use crate::process::heap::IndexedHeap;
+use crate::process::lifecycle::{Life, Limits, Signal};
+use crate::version::objects::Service;
+
+/// An upstream this many times slower than the median counts as slow.
+const SLOW_FACTOR: u64 = 4;
+/// Weight of a new sample in an upstream's mean time is one in this many.
+const MEAN_WEIGHT: u64 = 8;
+/// Probes that may be saved up.
+const SAVED_PROBES: u64 = 1;
+
+/// One upstream with what its pool knows of it.
+#[derive(Debug)]
+pub struct Upstream {
+    name: Arc<str>,
+    address: SocketAddr,
+    life: Life,
+    in_flight: usize,
+    /// Calls of an earlier holder that may still run.
+    inherited: Passing,
+    /// Cancelled calls that may still run.
+    lingering: Passing,
+    mean_us: u64,
+    is_measured: bool,
+    is_slow: bool,
+    started_us: u64,
+    last_turn: u64,
+    wants_probe: bool,
+    budget: TimeBudget,
+}
+
+impl Upstream {
+    fn busy(&self) -> usize {
+        self.in_flight + self.inherited.calls + self.lingering.calls
+    }
+
+    /// Order in which upstreams with room are used: the fewest busy slots,
+    /// then the shorter mean time up to a factor of two, then the longest
+    /// unused, so that all stay warm.
+    fn rank(&self) -> u64 {
+        const TURN_BITS: u32 = 48;
+        const MAGNITUDE_BITS: u32 = 6;
+        // One that has not answered yet is tried before those that have.
+        let magnitude = if self.is_measured {
+            u64::from(self.mean_us.max(1).ilog2())
+        } else {
+            0
+        };
+        let turn = self.last_turn & ((1 << TURN_BITS) - 1);
+        (to_u64(self.busy()) << (TURN_BITS + MAGNITUDE_BITS)) | (magnitude << TURN_BITS) | turn
+    }
+
+    /// Takes the time of a call in; a late answer of an upstream that is slow
+    /// anyway becomes a slow answer.
+    fn note_time(&mut self, signal: Signal, took_us: u64, pool_mean_us: u64) -> Signal {
+        let has_time = matches!(
+            signal,
+            Signal::Answered | Signal::AnsweredOverloaded | Signal::Silent
+        );
+        if !has_time {
+            return signal;
+        }
+        self.mean_us = if self.is_measured {
+            blend(self.mean_us, took_us, MEAN_WEIGHT)
+        } else {
+            took_us
+        };
+        self.is_measured = true;
+        let is_late = took_us > pool_mean_us.saturating_mul(SLOW_FACTOR);
+        if signal == Signal::Answered && is_late && self.is_slow {
+            return Signal::AnsweredSlowly;
+        }
+        signal
+    }
+}
+
+/// What an upstream looks like from outside the pool.
+#[derive(Clone, Debug)]
+pub struct UpstreamView {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// State by name.
+    pub life: Life,
+    /// Calls that run now.
+    pub in_flight: usize,
+    /// Mean time to answer.
+    pub mean_us: u64,
+}
+
+/// Calls that hold slots until a time, or until it is known that they ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Passing {
+    calls: usize,
+    until_us: u64,
+}
+
+impl Passing {
+    fn pass(&mut self, now_us: u64) {
+        if self.until_us <= now_us {
+            self.calls = 0;
+        }
+    }
+}
+
+/// The upstreams of a pool, in the order in which they are used.
+#[derive(Debug)]
+pub struct UpstreamSet {
+    service: Arc<Service>,
+    upstreams: Vec<Upstream>,
+    names: HashMap<Arc<str>, usize>,
+    ready: IndexedHeap,
+    slow: IndexedHeap,
+    capacity: usize,
+    ejected: usize,
+    live: usize,
+    turns: u64,
+    scratch: Vec<u64>,
+}
+
+impl UpstreamSet {
+    /// An empty set.
+    #[must_use]
+    pub fn new(service: Arc<Service>) -> Self {
+        Self {
+            service,
+            upstreams: Vec::new(),
+            names: HashMap::new(),
+            ready: IndexedHeap::default(),
+            slow: IndexedHeap::default(),
+            capacity: 0,
+            ejected: 0,
+            live: 0,
+            turns: 0,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// The service's settings.
+    #[must_use]
+    pub fn service(&self) -> &Service {
+        &self.service
+    }
+
+    /// Calls that the upstreams which are not slow may run at once.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// Whether no upstream takes anything for now.
+    #[must_use]
+    pub fn has_none(&self) -> bool {
+        self.live == self.ejected
+    }
+
+    /// Whether an upstream has room.
+    #[must_use]
+    pub fn has_ready(&self) -> bool {
+        self.ready.first().is_some() || self.slow.first().is_some()
+    }
+
+    /// The next upstream with room that is not slow, other than `avoid`.
+    #[must_use]
+    pub fn next_fast(&self, avoid: Option<usize>) -> Option<usize> {
+        self.ready.first_except(avoid)
+    }
+
+    /// The next slow upstream with room, other than `avoid`.
+    #[must_use]
+    pub fn next_slow(&self, avoid: Option<usize>) -> Option<usize> {
+        self.slow.first_except(avoid)
+    }
+
+    /// Mean time of an upstream to answer.
+    #[must_use]
+    pub fn mean_us(&self, index: usize) -> u64 {
+        self.upstreams[index].mean_us
+    }
+
+    /// Time at which an upstream last got a call.
+    #[must_use]
+    pub fn started_us(&self, index: usize) -> u64 {
+        self.upstreams[index].started_us
+    }
+
+    /// Name and address of an upstream.
+    #[must_use]
+    pub fn place(&self, index: usize) -> (&Arc<str>, SocketAddr) {
+        let upstream = &self.upstreams[index];
+        (&upstream.name, upstream.address)
+    }
+
+    /// Index of the upstream with a name.
+    #[must_use]
+    pub fn index_of(&self, name: &str) -> Option<usize> {
+        self.names.get(name).copied()
+    }
+
+    /// All upstreams that are not gone.
+    #[must_use]
+    pub fn view(&self) -> Vec<UpstreamView> {
+        let mut views = Vec::new();
+        for upstream in &self.upstreams {
+            if upstream.life.is_leaving() && upstream.in_flight == 0 {
+                continue;
+            }
+            views.push(UpstreamView {
+                name: Arc::clone(&upstream.name),
+                address: upstream.address,
+                life: upstream.life,
+                in_flight: upstream.in_flight,
+                mean_us: upstream.mean_us,
+            });
+        }
+        views
+    }
+
+    /// Takes the service's settings of a new version.
+    pub fn configure(&mut self, service: Arc<Service>) {
+        self.service = service;
+        self.capacity = 0;
+        let limits = self.limits();
+        for index in 0..self.upstreams.len() {
+            let upstream = &self.upstreams[index];
+            if !upstream.is_slow {
+                self.capacity += upstream.life.limit(limits);
+            }
+            self.refresh(index);
+        }
+    }
+
+    /// Takes what the list names; `mean_us` is assumed of new upstreams.
+    pub fn on_listed(&mut self, now_us: u64, listed: Vec<Listed>, mean_us: u64) {
+        let mut named = vec![false; self.upstreams.len()];
+        for entry in listed {
+            let known = self.names.get(&entry.name).copied();
+            let index = match known {
+                Some(index) if self.upstreams[index].address == entry.address => index,
+                _ if entry.is_leaving => continue,
+                _ => self.add(now_us, entry.name, entry.address, mean_us),
+            };
+            if index < named.len() {
+                named[index] = true;
+            }
+            let life = self.upstreams[index].life;
+            if entry.is_leaving && !life.is_leaving() {
+                self.set_life(index, life.on_leave());
+            } else if !entry.is_leaving && life.is_leaving() {
+                self.set_life(index, Life::unknown(self.limits()));
+            }
+        }
+        for (index, is_named) in named.into_iter().enumerate() {
+            let life = self.upstreams[index].life;
+            if !is_named && !life.is_leaving() {
+                self.set_life(index, life.on_leave());
+            }
+        }
+    }
+
+    fn add(&mut self, now_us: u64, name: Arc<str>, address: SocketAddr, mean_us: u64) -> usize {
+        if let Some(old) = self.names.get(&name).copied() {
+            let life = self.upstreams[old].life.on_leave();
+            self.set_life(old, life);
+        }
+        let upstream = Upstream {
+            name: Arc::clone(&name),
+            address,
+            life: Life::unknown(self.limits()),
+            in_flight: 0,
+            inherited: Passing::default(),
+            lingering: Passing::default(),
+            mean_us,
+            is_measured: false,
+            is_slow: false,
+            started_us: now_us,
+            last_turn: 0,
+            wants_probe: false,
+            budget: self.new_budget(now_us),
+        };
+        let index = self.put(upstream);
+        self.names.insert(name, index);
+        self.live += 1;
+        self.capacity += self.upstreams[index].life.limit(self.limits());
+        self.refresh(index);
+        index
+    }
+
+    /// Puts an upstream in the place of one that is gone, or at the end.
+    fn put(&mut self, upstream: Upstream) -> usize {
+        let reusable = self
+            .upstreams
+            .iter()
+            .position(|old| old.life.is_leaving() && old.busy() == 0 && old.name != upstream.name);
+        let Some(index) = reusable else {
+            self.upstreams.push(upstream);
+            return self.upstreams.len() - 1;
+        };
+        let old = std::mem::replace(&mut self.upstreams[index], upstream);
+        if self.names.get(&old.name) == Some(&index) {
+            self.names.remove(&old.name);
+        }
+        index
+    }
+
+    /// Half of the agreed budget: while views differ, two holders measure the
+    /// same upstream.
+    fn new_budget(&self, now_us: u64) -> TimeBudget {
+        let service = &self.service;
+        let probes_per_second_milli =
+            service.measuring_permille * to_u64(service.slots) * 1000 / service.probe_cost_ms;
+        TimeBudget::new(probes_per_second_milli / 2, SAVED_PROBES, now_us)
+    }
+
+    /// Counts slots as busy with calls of an earlier holder.
+    pub fn on_inherited(&mut self, inherited: &Inherited) {
+        for index in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[index];
+            let name = inherited.upstream.as_ref();
+            if name.is_some_and(|name| *name != upstream.name) {
+                continue;
+            }
+            upstream.inherited = Passing {
+                calls: inherited.calls.unwrap_or(self.service.slots),
+                until_us: inherited.until_us,
+            };
+            if inherited.is_warm && !upstream.life.is_leaving() {
+                self.set_life(index, Life::warm());
+            }
+            self.refresh(index);
+        }
+    }
+
+    /// Counts the start of a call.
+    pub fn start(&mut self, now_us: u64, index: usize) {
+        self.turns += 1;
+        let upstream = &mut self.upstreams[index];
+        upstream.in_flight += 1;
+        upstream.started_us = now_us;
+        upstream.last_turn = self.turns;
+        self.refresh(index);
+    }
+
+    /// Counts the end of a call that was never sent.
+    pub fn on_unsent(&mut self, index: usize) {
+        self.upstreams[index].in_flight -= 1;
+        self.refresh(index);
+    }
+
+    /// Counts the end of a call; `pool_mean_us` tells a slow answer.
+    pub fn on_ended(
+        &mut self,
+        now_us: u64,
+        index: usize,
+        signal: Signal,
+        took_us: u64,
+        pool_mean_us: u64,
+    ) {
+        let limits = self.limits();
+        let run_limit_us = self.service.run_limit_ms * 1000;
+        let upstream = &mut self.upstreams[index];
+        upstream.in_flight -= 1;
+        if signal.may_run_on() {
+            upstream.lingering.calls += 1;
+            upstream.lingering.until_us = now_us + run_limit_us;
+        }
+        if signal == Signal::Cancelled {
+            self.refresh(index);
+            return;
+        }
+        if signal.is_answer() {
+            // It works on: it has met the closed connections by now.
+            upstream.lingering.calls = 0;
+        }
+        let signal = upstream.note_time(signal, took_us, pool_mean_us);
+        let life = upstream.life.on_signal(signal, now_us, limits);
+        self.set_life(index, life);
+    }
+
+    /// Counts the end of a probe.
+    pub fn on_probed(&mut self, now_us: u64, index: usize, healthy: bool) {
+        let upstream = &mut self.upstreams[index];
+        upstream.in_flight -= 1;
+        upstream.wants_probe = false;
+        // A good answer alone does not raise the concurrency.
+        let signal = if healthy {
+            Signal::AnsweredOverloaded
+        } else {
+            Signal::Errored
+        };
+        let life = upstream.life.on_signal(signal, now_us, self.limits());
+        self.set_life(index, life);
+    }
+
+    /// Looks at what changes with time; appends the upstreams to probe.
+    pub fn review(&mut self, now_us: u64, may_probe: bool, decisions: &mut Vec<Decision>) {
+        let median_us = self.median_us();
+        for index in 0..self.upstreams.len() {
+            let limits = self.limits();
+            let upstream = &mut self.upstreams[index];
+            upstream.inherited.pass(now_us);
+            upstream.lingering.pass(now_us);
+            let before = upstream.life;
+            let after = before.on_time(now_us, limits);
+            upstream.wants_probe |= before.is_ejected() && !after.is_ejected();
+            let is_slow = upstream.mean_us > median_us.saturating_mul(SLOW_FACTOR);
+            self.set_slow(index, is_slow);
+            self.set_life(index, after);
+            if may_probe {
+                self.probe(now_us, index, decisions);
+            }
+        }
+    }
+
+    fn probe(&mut self, now_us: u64, index: usize, decisions: &mut Vec<Decision>) {
+        let has_room = self.has_room(index);
+        let upstream = &mut self.upstreams[index];
+        if !upstream.wants_probe || !has_room || !upstream.budget.take(now_us) {
+            return;
+        }
+        upstream.wants_probe = false;
+        upstream.in_flight += 1;
+        self.refresh(index);
+        decisions.push(Decision::Probe { upstream: index });
+    }
+
+    fn median_us(&mut self) -> u64 {
+        self.scratch.clear();
+        for upstream in &self.upstreams {
+            if !upstream.life.is_leaving() {
+                self.scratch.push(upstream.mean_us);
+            }
+        }
+        if self.scratch.is_empty() {
+            return 0;
+        }
+        // The lower median, so that with two upstreams the faster one counts.
+        let middle = (self.scratch.len() - 1) / 2;
+        *self.scratch.select_nth_unstable(middle).1
+    }
+
+    fn set_slow(&mut self, index: usize, is_slow: bool) {
+        let limit = self.upstreams[index].life.limit(self.limits());
+        let upstream = &mut self.upstreams[index];
+        match (upstream.is_slow, is_slow) {
+            (false, true) => self.capacity -= limit,
+            (true, false) => self.capacity += limit,
+            _ => {}
+        }
+        upstream.is_slow = is_slow;
+    }
+
+    fn set_life(&mut self, index: usize, life: Life) {
+        let limits = self.limits();
+        let upstream = &mut self.upstreams[index];
+        let before = std::mem::replace(&mut upstream.life, life);
+        if !upstream.is_slow {
+            self.capacity = self.capacity + life.limit(limits) - before.limit(limits);
+        }
+        self.ejected =
+            self.ejected + usize::from(life.is_ejected()) - usize::from(before.is_ejected());
+        self.live = self.live + usize::from(!life.is_leaving()) - usize::from(!before.is_leaving());
+        self.refresh(index);
+    }
+
+    fn has_room(&self, index: usize) -> bool {
+        let upstream = &self.upstreams[index];
+        let limit = upstream.life.limit(self.limits());
+        // A slow upstream is used for one call at a time.
+        let limit = if upstream.is_slow {
+            limit.min(1)
+        } else {
+            limit
+        };
+        upstream.busy() < limit
+    }
+
+    /// Puts an upstream where its state belongs.
+    fn refresh(&mut self, index: usize) {
+        let has_room = self.has_room(index);
+        let upstream = &self.upstreams[index];
+        let rank = upstream.rank();
+        if has_room && upstream.is_slow {
+            self.slow.set(index, rank);
+        } else {
+            self.slow.remove(index);
+        }
+        if has_room && !upstream.is_slow {
+            self.ready.set(index, rank);
+        } else {
+            self.ready.remove(index);
+        }
+    }
+
+    fn limits(&self) -> Limits {
+        Limits {
+            cold_slots: self.service.cold_slots,
+            slots: self.service.slots,
+            may_eject: (self.ejected + 1) * 2 <= self.live,
+        }
+    }
+}
+
+/// Mean with a new sample that counts one in `weight`.
+#[must_use]
+pub fn blend(mean: u64, sample: u64, weight: u64) -> u64 {
+    (mean * (weight - 1) + sample) / weight
+}
+
+fn to_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- a/src/process/pool_actor.rs
+++ b/src/process/pool_actor.rs
@@ -48,6 +48,10 @@
     pub address: SocketAddr,
     /// Why this one.
     pub reason: SendReason,
+    /// Whether an earlier run of the same request was cut: it must go over a
+    /// fresh connection, so that a connection which had ended unnoticed does
+    /// not count against the request.
+    pub is_suspect: bool,
     /// Wait of a new call of the same kind.
     pub wait_us: u64,
     ended: Ended,
@@ -56,9 +60,14 @@
 }
 
 impl Slot {
+    /// From here on the call may run, until its end is reported.
+    pub fn begin(&mut self) {
+        self.ended.signal = Some(super::lifecycle::Signal::Cancelled);
+    }
+
     /// Gives the slot back with what the call showed.
-    pub fn end(mut self, signal: Option<super::lifecycle::Signal>) {
-        self.ended.signal = signal;
+    pub fn end(mut self, signal: super::lifecycle::Signal) {
+        self.ended.signal = Some(signal);
     }
 }
 
@@ -133,13 +142,18 @@
     }
 
     fn carry_out(&mut self, node: &Arc<Node>, actor: &ActorRef<Self>) {
-        for decision in std::mem::take(&mut self.decisions) {
+        let mut decisions = std::mem::take(&mut self.decisions);
+        for decision in decisions.drain(..) {
             match decision {
                 Decision::Send {
                     waiting,
                     upstream,
                     reason,
-                } => self.send(node, actor, &waiting, upstream, reason),
+                    is_suspect,
+                } => {
+                    let slot = self.slot(actor, &waiting, upstream, reason, is_suspect);
+                    self.send(node, &waiting, slot);
+                }
                 Decision::Refuse {
                     waiting,
                     reason,
@@ -148,21 +162,24 @@
                 Decision::Probe { upstream } => self.probe(node, actor, upstream),
             }
         }
+        // The emptied list is kept for the next event.
+        self.decisions = decisions;
     }
 
-    fn send(
-        &mut self,
-        node: &Arc<Node>,
+    fn slot(
+        &self,
         actor: &ActorRef<Self>,
         waiting: &Waiting,
         upstream: usize,
         reason: SendReason,
-    ) {
+        is_suspect: bool,
+    ) -> Slot {
         let (name, address) = self.pool.upstream(upstream);
-        let slot = Slot {
+        Slot {
             name: Arc::clone(name),
             address,
             reason,
+            is_suspect,
             wait_us: self
                 .pool
                 .expected_wait_us(waiting.tier, &waiting.organisation),
@@ -175,7 +192,10 @@
             },
             sent: Instant::now(),
             pool: actor.clone(),
-        };
+        }
+    }
+
+    fn send(&mut self, node: &Node, waiting: &Waiting, slot: Slot) {
         let queued_us = node.clock.now_us().saturating_sub(waiting.arrived_us);
         node.metrics.time(Timer::QueueUs, queued_us);
         node.metrics.count(Counter::Sends);
@@ -201,6 +221,18 @@
         }
     }
 
+    fn released(&self) -> Vec<ReleasedUpstream> {
+        let mut upstreams = Vec::new();
+        for view in self.pool.view() {
+            upstreams.push(ReleasedUpstream {
+                name: view.name,
+                in_flight: view.in_flight,
+                is_warm: view.life.is_warm(),
+            });
+        }
+        upstreams
+    }
+
     fn probe(&self, node: &Arc<Node>, actor: &ActorRef<Self>, upstream: usize) {
         node.metrics.count(Counter::Probes);
         let (_, address) = self.pool.upstream(upstream);
@@ -370,15 +402,23 @@
         if let Some(node) = self.node.upgrade() {
             self.carry_out(&node, &actor);
         }
-        let mut upstreams = Vec::new();
-        for view in self.pool.view() {
-            upstreams.push(ReleasedUpstream {
-                name: view.name,
-                in_flight: view.in_flight,
-                is_warm: view.life.is_warm(),
-            });
-        }
-        upstreams
+        self.released()
+    }
+}
+
+/// Asks what still runs, without giving the pool up.
+#[derive(Debug)]
+pub struct Running;
+
+impl Message<Running> for PoolActor {
+    type Reply = Vec<ReleasedUpstream>;
+
+    async fn handle(
+        &mut self,
+        _: Running,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Vec<ReleasedUpstream> {
+        self.released()
     }
 }
 
--- a/src/process/queue.rs
+++ b/src/process/queue.rs
@@ -8,6 +8,9 @@
 /// Number of tiers that are served in order.
 const TIERS: usize = 2;
 
+/// Lines that are kept although they are empty.
+const IDLE_LINES_MAX: usize = 256;
+
 /// Identifies one call within a pool.
 pub type Ticket = u64;
 
@@ -35,6 +38,7 @@
 struct Line {
     calls: VecDeque<Waiting>,
     live: usize,
+    has_turn: bool,
 }
 
 /// One tier: lines of organisations, served in turn.
@@ -87,14 +91,19 @@
         tier.live += 1;
         self.withdrawn.insert(waiting.ticket, false);
         if !tier.lines.contains_key(&waiting.organisation) {
+            tier.forget_idle_lines();
             let name = Arc::clone(&waiting.organisation);
-            tier.lines.insert(Arc::clone(&name), Line::default());
-            tier.turns.push_back(name);
+            tier.lines.insert(name, Line::default());
         }
-        if let Some(line) = tier.lines.get_mut(&waiting.organisation) {
-            line.live += 1;
-            line.calls.push_back(waiting);
+        let Some(line) = tier.lines.get_mut(&waiting.organisation) else {
+            return;
+        };
+        if !line.has_turn {
+            line.has_turn = true;
+            tier.turns.push_back(Arc::clone(&waiting.organisation));
         }
+        line.live += 1;
+        line.calls.push_back(waiting);
     }
 
     /// Puts a call that was just taken back at the front.
@@ -108,6 +117,7 @@
         }
         tier.turns.push_front(Arc::clone(&name));
         let line = tier.lines.entry(name).or_default();
+        line.has_turn = true;
         line.live += 1;
         line.calls.push_front(waiting);
     }
@@ -150,6 +160,14 @@
 }
 
 impl TierQueue {
+    /// Drops lines that are empty once there are many, so that organisations
+    /// that come and go do not pile up.
+    fn forget_idle_lines(&mut self) {
+        if self.lines.len() >= IDLE_LINES_MAX {
+            self.lines.retain(|_, line| line.has_turn);
+        }
+    }
+
     fn pop(&mut self, withdrawn: &mut HashMap<Ticket, bool>) -> Option<Waiting> {
         while let Some(name) = self.turns.pop_front() {
             let line = self.lines.get_mut(&name)?;
@@ -160,17 +178,14 @@
                     break;
                 }
             }
-            if line.calls.is_empty() {
-                self.lines.remove(&name);
-            } else {
+            line.has_turn = !line.calls.is_empty();
+            line.live -= usize::from(found.is_some());
+            if line.has_turn {
                 self.turns.push_back(name);
             }
             let Some(waiting) = found else {
                 continue;
             };
-            if let Some(line) = self.lines.get_mut(&waiting.organisation) {
-                line.live -= 1;
-            }
             self.live -= 1;
             return Some(waiting);
         }
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -42,6 +42,9 @@
         "\"{TIMEOUT_MS}\" must be a whole number from 1 to {MAX_TIMEOUT_MS}; correct or omit it"
     )]
     Timeout,
+    /// A header that may stand once stands several times.
+    #[error("\"{0}\" stands more than once; send it once")]
+    Repeated(&'static str),
     /// The key is too long or has characters that are not printable ASCII.
     #[error(
         "\"{IDEMPOTENCY_KEY}\" must be 1 to {MAX_KEY_BYTES} printable ASCII characters; \
--- /dev/null
+++ b/tests/fleet/scenarios.rs
@@ -0,0 +1,367 @@
+//! Short scenarios, each named for what the product does.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use reqwest::Method;
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use crate::env::{TestEnv, read, upstream, wait_until};
+use crate::objects::set;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn lookups_and_bookings_pass_through_each_entry() {
+    let env = TestEnv::start(2, &[upstream("a"), upstream("b"), upstream("c")]).await;
+
+    for entry in 0..2 {
+        let lookup = env.lookup(entry, "/bins/7?full=1").await;
+        expect_that!(lookup.outcome, eq("result"));
+        expect_that!(lookup.body, contains_substring("GET /bins/7?full=1"));
+
+        let key = format!("key-{entry}");
+        let booking = env.book(entry, &key).await;
+        expect_that!(booking.outcome, eq("result"));
+        expect_that!(booking.body, contains_substring(format!("booking {key}")));
+        expect_that!(env.ledger.runs_of(&key), eq(1));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_key_gets_the_first_result_at_every_entry() {
+    let env = TestEnv::start(3, &[upstream("a"), upstream("b")]).await;
+    let first = env.book(0, "once").await;
+
+    for entry in 0..3 {
+        let again = env.book(entry, "once").await;
+        expect_that!(again.body, eq(&first.body));
+    }
+
+    expect_that!(env.ledger.runs_of("once"), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_met_while_it_runs_waits_for_the_same_result() {
+    let env = TestEnv::start(3, &[upstream("a"), upstream("b")]).await;
+    let slow = |entry| {
+        env.booking(entry, "twin")
+            .header("x-service-time-ms", 300)
+            .send()
+    };
+
+    let (first, second, third) = tokio::join!(slow(0), slow(1), slow(2));
+
+    let bodies = [read(first).await, read(second).await, read(third).await];
+    for reply in &bodies {
+        expect_that!(reply.body, eq(&bodies[0].body));
+        expect_that!(reply.outcome, eq("result"));
+    }
+    expect_that!(env.ledger.runs_of("twin"), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_used_for_other_work_is_turned_down() {
+    let env = TestEnv::start(2, &[upstream("a")]).await;
+    env.book(0, "mixed").await;
+
+    let other = read(env.booking(1, "mixed").body("something else").send().await).await;
+
+    expect_that!(other.status, eq(422));
+    expect_that!(other.outcome, eq("not-run"));
+    expect_that!(env.ledger.runs_of("mixed"), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_a_clear_answer_and_does_not_run() {
+    let env = TestEnv::start(1, &[upstream("a")]).await;
+    let url = format!("http://{}", env.caller_address(0));
+    let post = |path: &str| env.client.post(format!("{url}{path}"));
+    let cases = [
+        (post("/nowhere"), 404),
+        (post("/call/nothing/x").bearer_auth("paying-key"), 404),
+        (post("/call/orders/x"), 401),
+        (post("/call/orders/x").bearer_auth("wrong"), 401),
+        (post("/call/orders/x").bearer_auth("paying-key"), 400),
+        (
+            env.booking(0, "k").header("chicorywing-timeout-ms", "soon"),
+            400,
+        ),
+        (
+            env.booking(0, "k")
+                .header("chicorywing-context", "00.0.paying.payer"),
+            403,
+        ),
+        (env.booking(0, "k").body(vec![b'x'; 8_388_609]), 413),
+    ];
+
+    for (request, status) in cases {
+        let reply = read(request.send().await).await;
+        expect_that!(reply.status, eq(status), "{reply:?}");
+        expect_that!(reply.outcome, eq("not-run"));
+    }
+
+    expect_that!(env.ledger.runs(), is_empty());
+    expect_that!(env.lookup(0, "/after").await.outcome, eq("result"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_on_the_peer_port_harms_nobody() {
+    use tokio::io::AsyncWriteExt;
+    let env = TestEnv::start(2, &[upstream("a")]).await;
+
+    for garbage in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0xff; 64],
+        &[0, 0, 0, 3, 1, 2, 3],
+    ] {
+        let address = env.address(8100, 0);
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        stream.write_all(garbage).await.unwrap();
+    }
+
+    expect_that!(env.lookup(1, "/x").await.outcome, eq("result"));
+    expect_that!(env.book(1, "after-garbage").await.outcome, eq("result"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_rest_serves_while_each_process_is_killed_in_turn() {
+    let mut env = TestEnv::start(3, &[upstream("a"), upstream("b"), upstream("c")]).await;
+    let mut entries = vec![0, 1, 2];
+
+    // Two entries are left at the end: one alone would be isolated.
+    for victim in ["up-0", "entry-0", "log", "list", "up-1"] {
+        env.kill(victim).await;
+        entries.retain(|entry| format!("entry-{entry}") != victim);
+
+        for round in 0..5 {
+            for entry in &entries {
+                let lookup = env.lookup(*entry, "/any").await;
+                expect_that!(lookup.outcome, eq("result"), "{victim} {round}: {lookup:?}");
+                let booking = env.book(*entry, &format!("{victim}-{entry}-{round}")).await;
+                expect_that!(booking.outcome, not(eq("failed")), "{victim}: {booking:?}");
+            }
+        }
+    }
+
+    expect_that!(env.ledger.most_runs_of_a_key(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_gets_nothing_while_it_is_out() {
+    let env = TestEnv::start(3, &[upstream("a"), upstream("b")]).await;
+    let log = env.log_url();
+
+    let (code, output) = env.cli(&["out", "a", "--log", &log]).await;
+    expect_that!(code, eq(0), "{output}");
+    wait_until("version 2 everywhere", || async {
+        let shown = env
+            .cli(&["--json", "show", "--instances", &env.admin_addresses()])
+            .await;
+        shown.0 == 0 && shown.1.contains("\"version\":2")
+    })
+    .await;
+    let before = env.ledger.runs_at("up-0");
+    for number in 0..30 {
+        let reply = env.lookup(number % 3, "/x").await;
+        expect_that!(reply.outcome, eq("result"));
+    }
+    expect_that!(env.ledger.runs_at("up-0"), eq(before));
+
+    let (code, _) = env.cli(&["back", "a", "--log", &log]).await;
+    expect_that!(code, eq(0));
+    wait_until("the data centre serves again", || async {
+        env.lookup(0, "/x").await;
+        env.ledger.runs_at("up-0") > before
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let env = TestEnv::start(2, &[upstream("a"), upstream("b")]).await;
+    env.lookup(0, "/x").await;
+
+    env.mark_leaving(0, "a").await;
+    sleep(Duration::from_secs(2)).await;
+    let before = env.ledger.runs_at("up-0");
+    for number in 0..30 {
+        expect_that!(env.lookup(number % 2, "/x").await.outcome, eq("result"));
+    }
+
+    expect_that!(env.ledger.runs_at("up-0"), eq(before));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_racing_publishes_have_one_winner() {
+    let env = TestEnv::start(1, &[upstream("a")]).await;
+    let file = std::env::temp_dir().join(format!("race-{}.jsonc", std::process::id()));
+    std::fs::write(&file, set(Some("b"))).unwrap();
+    let path = file.display().to_string();
+    let log = env.log_url();
+    let args = ["publish", &path, "--log", &log, "--based-on", "1"];
+
+    let ((first, first_text), (second, second_text)) = tokio::join!(env.cli(&args), env.cli(&args));
+
+    let mut codes = [first, second];
+    codes.sort_unstable();
+    expect_that!(codes, eq([0, 3]), "{first_text} {second_text}");
+    std::fs::remove_file(file).unwrap();
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_publish_whose_answer_is_lost_counts_once() {
+    let env = TestEnv::start(1, &[upstream("a")]).await;
+    env.control("log", json!({ "lose_answers": 1 })).await;
+
+    env.publish(&set(Some("c"))).await;
+
+    wait_until("version 2", || async {
+        env.status(0)
+            .await
+            .is_some_and(|status| status.version == 2)
+    })
+    .await;
+    let (_, current) = env.cli(&["current", "--log", &env.log_url()]).await;
+    expect_that!(current, starts_with("// version 2 "));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_without_the_log_learns_from_its_peers() {
+    let mut env = TestEnv::start(2, &[upstream("a")]).await;
+    env.control("log", json!({ "is_down": true })).await;
+
+    env.add_entry(2).await;
+
+    wait_until("the new entry is ready", || env.is_ready(2)).await;
+    expect_that!(env.lookup(2, "/x").await.outcome, eq("result"));
+    expect_that!(env.book(2, "without-log").await.outcome, eq("result"));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_call() {
+    let mut env = TestEnv::start(3, &[upstream("a"), upstream("b"), upstream("c")]).await;
+    let mut pending = Vec::new();
+    for entry in 0..3 {
+        for number in 0..2 {
+            let key = format!("stop-{entry}-{number}");
+            let request = env.booking(entry, &key).header("x-service-time-ms", 600);
+            pending.push(tokio::spawn(
+                async move { read(request.send().await).await },
+            ));
+        }
+    }
+    wait_until("some calls run", || async { env.ledger.runs().len() >= 3 }).await;
+
+    let ended_well = env.stop("entry-0").await;
+
+    expect_that!(ended_well, eq(true));
+    for call in pending {
+        let reply = call.await.unwrap();
+        expect_that!(reply.outcome, eq("result"), "{reply:?}");
+    }
+    expect_that!(env.ledger.most_runs_of_a_key(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_sends_nothing_when_it_goes_on() {
+    let env = TestEnv::start(3, &[upstream("a"), upstream("b")]).await;
+    // The data centre goes out while one entry is frozen with calls to it.
+    env.freeze("entry-0").await;
+    let held: Vec<_> = (0..10)
+        .map(|number| {
+            let request = env.request(Method::GET, 0, &format!("/held/{number}"));
+            tokio::spawn(async move { read(request.send().await).await })
+        })
+        .collect();
+    env.cli(&["out", "a", "--log", &env.log_url()]).await;
+    sleep(Duration::from_secs(5)).await;
+    let before = env.ledger.runs_at("up-0");
+
+    env.resume("entry-0").await;
+    for call in held {
+        call.await.unwrap();
+    }
+
+    expect_that!(env.ledger.runs_at("up-0"), eq(before));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_holder_costs_lookups_less_than_a_second() {
+    let specs = [upstream("a"), upstream("b"), upstream("c")];
+    let mut env = TestEnv::start(6, &specs).await;
+    let holder = env.holder("a").await.unwrap();
+    let entry = (holder + 1) % 6;
+    env.lookup(entry, "/warm").await;
+
+    env.kill(&format!("entry-{holder}")).await;
+    let started = Instant::now();
+    let mut worst = Duration::ZERO;
+    while started.elapsed() < Duration::from_secs(2) {
+        let sent = Instant::now();
+        let reply = env.lookup(entry, "/x").await;
+        expect_that!(reply.outcome, eq("result"), "{reply:?}");
+        worst = worst.max(sent.elapsed());
+    }
+
+    expect_that!(worst, lt(Duration::from_secs(1)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_takes_down_few_upstreams() {
+    let specs = [upstream("a"); 6];
+    let mut env = TestEnv::start(3, &specs).await;
+
+    let mut last = env.lookup(0, "/x").await;
+    for attempt in 0..12 {
+        let request = env.request(Method::GET, attempt % 3, "/poison");
+        last = read(request.header("x-crash", "1").send().await).await;
+    }
+
+    let mut dead = 0;
+    for number in 0..6 {
+        let address = env.address(7100, number);
+        let alive = env
+            .client
+            .get(format!("http://{address}/health"))
+            .send()
+            .await;
+        dead += usize::from(alive.is_err());
+    }
+    expect_that!(dead, le(2));
+    expect_that!(last.reason, eq("poison"));
+    // Neither the caller nor the service is condemned with the request.
+    expect_that!(env.lookup(1, "/other").await.outcome, eq("result"));
+    env.kill("log").await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_isolated_entry_takes_no_new_work() {
+    let mut env = TestEnv::start(1, &[upstream("a")]).await;
+    expect_that!(env.lookup(0, "/x").await.outcome, eq("result"));
+
+    env.kill("log").await;
+    env.kill("list").await;
+
+    wait_until("not ready", || async { !env.is_ready(0).await }).await;
+    let reply = env.lookup(0, "/x").await;
+    expect_that!(reply.outcome, eq("not-run"));
+    expect_that!(reply.reason, eq("isolated"));
+    expect_that!(reply.retry_after, some(anything()));
+}
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,442 @@
+//! The decisions of a pool, driven without I/O.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chicorywing::process::lifecycle::Signal;
+use chicorywing::process::pool::{Decision, Ended, Event, Inherited, Listed, Pool, RefuseReason};
+use chicorywing::process::queue::Waiting;
+use chicorywing::version::objects::{Service, TierKind};
+use googletest::prelude::*;
+use proptest::prelude::{Strategy, prop, proptest};
+
+const SECOND_US: u64 = 1_000_000;
+
+fn service(slots: usize) -> Arc<Service> {
+    Arc::new(Service {
+        name: "s".into(),
+        slots,
+        cold_slots: 1,
+        run_limit_ms: 500,
+        idempotent_methods: Vec::new(),
+        body_limit_bytes: 0,
+        measuring_permille: 10,
+        probe_cost_ms: 6,
+        health_path: "/health".into(),
+        data_centres: Vec::new(),
+    })
+}
+
+fn listed(count: usize) -> Vec<Listed> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let names = (0..count).map(|number| format!("up-{number}"));
+    names
+        .map(|name| Listed {
+            name: name.into(),
+            address,
+            is_leaving: false,
+        })
+        .collect()
+}
+
+struct Driver {
+    pool: Pool,
+    now_us: u64,
+    next_ticket: u64,
+    sent: Vec<(Waiting, usize)>,
+    refused: Vec<(Waiting, RefuseReason)>,
+    probes: Vec<usize>,
+}
+
+impl Driver {
+    fn new(upstreams: usize, slots: usize) -> Self {
+        let mut driver = Self {
+            pool: Pool::new(service(slots), 0),
+            now_us: 0,
+            next_ticket: 0,
+            sent: Vec::new(),
+            refused: Vec::new(),
+            probes: Vec::new(),
+        };
+        driver.handle(Event::Listed(listed(upstreams)));
+        driver
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut decisions = Vec::new();
+        self.pool.handle(self.now_us, event, &mut decisions);
+        for decision in decisions {
+            match decision {
+                Decision::Send {
+                    waiting, upstream, ..
+                } => self.sent.push((waiting, upstream)),
+                Decision::Refuse {
+                    waiting, reason, ..
+                } => self.refused.push((waiting, reason)),
+                Decision::Probe { upstream } => self.probes.push(upstream),
+            }
+        }
+    }
+
+    fn arrive(&mut self, tier: TierKind, organisation: &str, fingerprint: u64) {
+        self.next_ticket += 1;
+        self.handle(Event::Arrived(Waiting {
+            ticket: self.next_ticket,
+            organisation: organisation.into(),
+            tier,
+            deadline_us: self.now_us + SECOND_US,
+            arrived_us: self.now_us,
+            avoid: None,
+            fingerprint,
+        }));
+    }
+
+    fn arrive_paying(&mut self, count: u64) {
+        for fingerprint in 0..count {
+            self.arrive(TierKind::Paying, "payer", fingerprint);
+        }
+    }
+
+    fn end(&mut self, index: usize, signal: Signal, took_us: u64) {
+        let (waiting, upstream) = self.sent.remove(index);
+        self.now_us += took_us;
+        self.handle(Event::Ended(Ended {
+            upstream,
+            signal: Some(signal),
+            took_us,
+            tier: waiting.tier,
+            fingerprint: waiting.fingerprint,
+        }));
+    }
+
+    /// Lets answers come until every upstream is warm.
+    fn warm_up(&mut self) {
+        for _ in 0..400 {
+            self.arrive_paying(1);
+            while !self.sent.is_empty() {
+                self.end(0, Signal::Answered, 1_000);
+            }
+        }
+        for view in self.pool.view() {
+            assert!(view.life.is_warm(), "{view:?}");
+        }
+    }
+
+    fn most_in_flight(&self) -> usize {
+        let views = self.pool.view();
+        views.iter().map(|view| view.in_flight).max().unwrap_or(0)
+    }
+}
+
+#[gtest]
+fn an_unknown_upstream_gets_its_cold_slots_only() {
+    let mut driver = Driver::new(3, 4);
+
+    driver.arrive_paying(20);
+
+    expect_that!(driver.sent, len(eq(3)));
+    expect_that!(driver.most_in_flight(), eq(1));
+}
+
+#[gtest]
+fn concurrency_rises_with_answers_not_with_time() {
+    let mut driver = Driver::new(1, 2);
+    driver.now_us += 60 * SECOND_US;
+    driver.arrive_paying(5);
+    expect_that!(driver.sent, len(eq(1)));
+
+    driver.warm_up();
+    driver.arrive_paying(5);
+
+    expect_that!(driver.sent, len(eq(2)));
+}
+
+#[gtest]
+fn refusals_make_a_warm_upstream_cold_again() {
+    let mut driver = Driver::new(1, 4);
+    driver.warm_up();
+    driver.arrive_paying(4);
+
+    driver.end(0, Signal::Refused, 1_000);
+    driver.end(0, Signal::Refused, 1_000);
+    driver.end(0, Signal::Answered, 1_000);
+    driver.end(0, Signal::Answered, 1_000);
+    driver.arrive_paying(4);
+
+    expect_that!(driver.most_in_flight(), eq(1));
+}
+
+#[gtest]
+fn a_service_never_loses_all_upstreams_to_errors() {
+    let mut driver = Driver::new(4, 2);
+    driver.warm_up();
+
+    for _ in 0..200 {
+        driver.arrive_paying(1);
+        while !driver.sent.is_empty() {
+            driver.end(0, Signal::Errored, 1_000);
+        }
+    }
+
+    let views = driver.pool.view();
+    let ejected = views.iter().filter(|view| view.life.is_ejected()).count();
+    expect_that!(ejected, le(2));
+}
+
+#[gtest]
+fn a_leaving_upstream_gets_nothing_and_keeps_what_it_runs() {
+    let mut driver = Driver::new(2, 2);
+    driver.arrive_paying(2);
+    let mut list = listed(2);
+    list[0].is_leaving = true;
+
+    driver.handle(Event::Listed(list));
+    let before = driver.sent.len();
+    driver.arrive_paying(10);
+
+    let new = &driver.sent[before..];
+    expect_that!(
+        new.iter().filter(|(_, upstream)| *upstream == 0).count(),
+        eq(0)
+    );
+    expect_that!(driver.sent, len(eq(2)));
+}
+
+#[gtest]
+fn inherited_calls_keep_slots_busy_until_they_have_ended() {
+    let mut driver = Driver::new(2, 2);
+    driver.handle(Event::Inherited(Inherited {
+        upstream: None,
+        calls: None,
+        is_warm: false,
+        until_us: 300_000,
+    }));
+
+    driver.arrive_paying(2);
+    expect_that!(driver.sent, is_empty());
+    driver.now_us = 400_000;
+    driver.handle(Event::Tick);
+
+    expect_that!(driver.sent, len(eq(2)));
+}
+
+#[gtest]
+fn a_cancelled_call_keeps_its_slot_until_the_upstream_answers() {
+    let mut driver = Driver::new(1, 2);
+    driver.warm_up();
+    driver.arrive_paying(2);
+
+    driver.end(0, Signal::Cancelled, 1_000);
+    driver.arrive_paying(2);
+    expect_that!(driver.most_in_flight(), eq(1));
+    driver.end(0, Signal::Answered, 1_000);
+
+    expect_that!(driver.most_in_flight(), eq(2));
+}
+
+#[gtest]
+fn a_flood_of_trials_leaves_paying_calls_their_slots() {
+    let mut driver = Driver::new(4, 2);
+    driver.warm_up();
+    for fingerprint in 0..200 {
+        driver.arrive(TierKind::Trial, "trier", fingerprint);
+    }
+    let trials = driver.sent.len();
+    expect_that!(trials, gt(4), "trials use what is free");
+
+    // Four paying calls in flight at any time, for two seconds.
+    for _ in 0..400 {
+        driver.arrive_paying(1);
+        let paying = driver
+            .sent
+            .iter()
+            .filter(|(call, _)| call.tier == TierKind::Paying);
+        if paying.count() > 4 {
+            let index = driver
+                .sent
+                .iter()
+                .position(|(call, _)| call.tier == TierKind::Paying);
+            driver.end(index.unwrap_or(0), Signal::Answered, 5_000);
+        }
+        if let Some(index) = driver
+            .sent
+            .iter()
+            .position(|(call, _)| call.tier.is_trial())
+        {
+            driver.end(index, Signal::Answered, 0);
+        }
+    }
+
+    let trials = driver
+        .sent
+        .iter()
+        .filter(|(call, _)| call.tier.is_trial())
+        .count();
+    expect_that!(trials, le(3));
+}
+
+#[gtest]
+fn an_organisation_in_flood_does_not_starve_its_tier() {
+    let mut driver = Driver::new(1, 1);
+    for fingerprint in 0..100 {
+        driver.arrive(TierKind::Paying, "loud", fingerprint);
+    }
+    driver.arrive(TierKind::Paying, "quiet", 1_000);
+
+    driver.end(0, Signal::Answered, 5_000);
+    driver.end(0, Signal::Answered, 5_000);
+
+    expect_that!(&*driver.sent[0].0.organisation, eq("quiet"));
+}
+
+#[gtest]
+fn what_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut driver = Driver::new(1, 1);
+
+    driver.arrive_paying(1_000);
+
+    expect_that!(driver.refused, not(is_empty()));
+    for (_, reason) in &driver.refused {
+        expect_that!(*reason, eq(RefuseReason::Overloaded));
+    }
+}
+
+#[gtest]
+fn a_poison_request_is_condemned_after_two_upstreams() {
+    let mut driver = Driver::new(4, 2);
+    for _ in 0..2 {
+        driver.arrive(TierKind::Paying, "payer", 7);
+        driver.end(0, Signal::Reset, 1_000);
+    }
+
+    driver.arrive(TierKind::Paying, "payer", 7);
+    driver.arrive(TierKind::Paying, "payer", 8);
+
+    expect_that!(driver.refused[0].1, eq(RefuseReason::Poison));
+    expect_that!(driver.sent[0].0.fingerprint, eq(8));
+}
+
+#[gtest]
+fn copies_cut_by_one_crash_are_one_strike() {
+    let mut driver = Driver::new(1, 2);
+    driver.warm_up();
+    driver.arrive(TierKind::Paying, "payer", 7);
+    driver.arrive(TierKind::Paying, "payer", 7);
+
+    driver.end(0, Signal::Reset, 1_000);
+    driver.end(0, Signal::Reset, 0);
+    driver.arrive(TierKind::Paying, "payer", 7);
+
+    expect_that!(driver.refused, is_empty());
+}
+
+#[gtest]
+fn probes_stay_within_half_of_the_budget() {
+    let mut driver = Driver::new(2, 2);
+    let mut probes = 0;
+    // Upstream 0 is absent for a minute: each ejection ends with a probe.
+    for _ in 0..6_000 {
+        driver.now_us += 10_000;
+        driver.arrive_paying(1);
+        while let Some((_, upstream)) = driver.sent.first() {
+            let signal = match upstream {
+                0 => Signal::Unconnected,
+                _ => Signal::Answered,
+            };
+            driver.end(0, signal, 0);
+        }
+        for upstream in std::mem::take(&mut driver.probes) {
+            probes += 1;
+            driver.handle(Event::Probed {
+                upstream,
+                healthy: false,
+            });
+        }
+    }
+
+    // 10 permille of 2 slots over 60 s are 1.2 s, 200 probes of 6 ms.
+    expect_that!(probes, le(100));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(bool, u64),
+    End(usize, Signal),
+    Wait(u64),
+    Leave(usize),
+    Return,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let signal = prop::sample::select(vec![
+        Signal::Answered,
+        Signal::Answered,
+        Signal::Answered,
+        Signal::AnsweredOverloaded,
+        Signal::Errored,
+        Signal::Refused,
+        Signal::Unconnected,
+        Signal::Reset,
+        Signal::Silent,
+        Signal::Cancelled,
+    ]);
+    let step = proptest::prop_oneof![
+        4 => (proptest::bool::ANY, 0..20_u64).prop_map(|(trial, id)| Step::Arrive(trial, id)),
+        4 => (0..64_usize, signal).prop_map(|(index, signal)| Step::End(index, signal)),
+        1 => (0..200_000_u64).prop_map(Step::Wait),
+        1 => (0..4_usize).prop_map(Step::Leave),
+        1 => proptest::strategy::Just(Step::Return),
+    ];
+    prop::collection::vec(step, 1..300)
+}
+
+proptest! {
+    /// Whatever happens, no upstream gets more than its slots, a leaving one
+    /// gets nothing, and each call ends in one way.
+    #[test]
+    fn limits_hold_through_any_history(steps in steps()) {
+        let mut driver = Driver::new(4, 3);
+        let mut leaving = [false; 4];
+        for step in steps {
+            let before = driver.sent.len();
+            match step {
+                Step::Arrive(true, id) => driver.arrive(TierKind::Trial, "trier", id),
+                Step::Arrive(false, id) => driver.arrive(TierKind::Paying, "payer", id),
+                Step::End(index, signal) if !driver.sent.is_empty() => {
+                    let index = index % driver.sent.len();
+                    driver.end(index, signal, 2_000);
+                }
+                Step::End(..) => {}
+                Step::Wait(time_us) => {
+                    driver.now_us += time_us;
+                    driver.handle(Event::Tick);
+                }
+                Step::Leave(index) => {
+                    leaving[index] = true;
+                    let mut list = listed(4);
+                    for (entry, is_leaving) in list.iter_mut().zip(leaving) {
+                        entry.is_leaving = is_leaving;
+                    }
+                    driver.handle(Event::Listed(list));
+                }
+                Step::Return => {
+                    leaving = [false; 4];
+                    driver.handle(Event::Listed(listed(4)));
+                }
+            }
+            for upstream in std::mem::take(&mut driver.probes) {
+                driver.handle(Event::Probed { upstream, healthy: true });
+            }
+            let mut counts = [0; 4];
+            for (_, upstream) in &driver.sent {
+                counts[*upstream] += 1;
+            }
+            assert!(counts.iter().all(|count| *count <= 3), "{counts:?}");
+            for (_, upstream) in driver.sent.iter().skip(before.min(driver.sent.len())) {
+                assert!(!leaving[*upstream], "new work for a leaving upstream");
+            }
+        }
+        let known = driver.sent.len() + driver.refused.len();
+        assert!(known as u64 <= driver.next_ticket);
+    }
+}
--- /dev/null
+++ b/tests/untrusted.rs
@@ -0,0 +1,93 @@
+//! Properties of everything that reads bytes from outside.
+
+use chicorywing::connection::list::InstanceList;
+use chicorywing::connection::wire::{Greeting, Run};
+use chicorywing::process::config::Config;
+use chicorywing::request::body::Body;
+use chicorywing::request::context::{Context, ContextError};
+use chicorywing::request::headers;
+use chicorywing::version::objects::{Objects, TierKind};
+use chicorywing::version::record::Record;
+use proptest::prelude::{any, prop, proptest};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_serde::{Deserializer, Serializer};
+
+fn decode<T: for<'de> serde::Deserialize<'de> + Unpin>(bytes: &[u8]) -> Option<T> {
+    let mut codec = Bincode::<T, Body>::default();
+    let bytes = bytes::BytesMut::from(bytes);
+    std::pin::Pin::new(&mut codec).deserialize(&bytes).ok()
+}
+
+fn encode(body: &Body) -> bytes::Bytes {
+    let mut codec = Bincode::<Body, Body>::default();
+    std::pin::Pin::new(&mut codec)
+        .serialize(body)
+        .unwrap_or_default()
+}
+
+proptest! {
+    #[test]
+    fn sets_and_settings_never_panic(text in "\\PC{0,200}|[\\[\\]{}:,\"a-z0-9 \n/*]{0,200}") {
+        let _ = Objects::parse(&text, "set");
+        let _ = Config::parse(&text, "settings");
+        let _ = InstanceList::parse(&text);
+        let _ = serde_json::from_str::<Record>(&text);
+    }
+
+    #[test]
+    fn headers_never_panic_and_keep_their_limits(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(timeout_ms) = headers::parse_timeout_ms(Some(&bytes)) {
+            assert!((1..=headers::MAX_TIMEOUT_MS).contains(&timeout_ms));
+        }
+        if let Ok(key) = headers::parse_key(&bytes) {
+            assert!((1..=headers::MAX_KEY_BYTES).contains(&key.len()));
+        }
+        let _ = headers::is_overloaded(&String::from_utf8_lossy(&bytes));
+    }
+
+    #[test]
+    fn a_changed_context_is_never_taken(at in 0..100_usize, change in 1..255_u8) {
+        let context = Context {
+            organisation: "trier".into(),
+            tier: TierKind::Trial,
+            depth: 2,
+        };
+        let signed = context.sign("a-secret-of-the-tests");
+        assert_eq!(Context::verify(&signed, "a-secret-of-the-tests"), Ok(context));
+        let mut bytes = signed.into_bytes();
+        let at = at % bytes.len();
+        bytes[at] ^= change;
+        if let Ok(text) = String::from_utf8(bytes) {
+            let verified = Context::verify(&text, "a-secret-of-the-tests");
+            // Upper-case digits of the signature mean the same.
+            let is_same = verified.as_ref().is_ok_and(|found| found.tier == TierKind::Trial);
+            assert!(verified.is_err() || is_same);
+        }
+    }
+
+    #[test]
+    fn frames_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let _ = decode::<Run>(&bytes);
+        let _ = decode::<Greeting>(&bytes);
+    }
+
+    #[test]
+    fn bodies_come_back_whole(bytes in prop::collection::vec(any::<u8>(), 0..2_000)) {
+        let body = Body::from(bytes);
+        assert_eq!(decode::<Body>(&encode(&body)), Some(body));
+    }
+}
+
+#[test]
+fn a_context_with_another_secret_is_forged() {
+    let context = Context {
+        organisation: "payer".into(),
+        tier: TierKind::Paying,
+        depth: 0,
+    };
+    let signed = context.sign("one-secret-of-theirs");
+
+    let verified = Context::verify(&signed, "a-secret-of-the-tests");
+
+    assert_eq!(verified, Err(ContextError::Forged));
+}
--- /dev/null
+++ b/tests/upstream.rs
@@ -0,0 +1,158 @@
+//! The client towards upstreams sends each attempt once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use chicorywing::connection::upstream::{AttemptLimits, End, Report, Upstreams};
+use chicorywing::process::lifecycle::Signal;
+use chicorywing::request::attempt::Attempt;
+use chicorywing::request::body::Body;
+use chicorywing::request::call::Call;
+use chicorywing::request::outcome::Outcome;
+use chicorywing::version::objects::TierKind;
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Serves raw answers, one per request, and counts the requests.
+async fn serve(answers: Vec<&'static str>) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_one(stream, answers.clone(), Arc::clone(&counted)));
+        }
+    });
+    (address, count)
+}
+
+async fn serve_one(mut stream: TcpStream, answers: Vec<&'static str>, count: Arc<AtomicUsize>) {
+    let mut buffer = vec![0; 4096];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => {}
+            _ => return,
+        }
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        let answer = answers.get(number).copied().unwrap_or_default();
+        // An empty answer cuts the connection.
+        if answer.is_empty() || stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn call(is_idempotent: bool) -> Arc<Call> {
+    Arc::new(Call {
+        id: "id".into(),
+        service: "s".into(),
+        organisation: "o".into(),
+        tier: TierKind::Paying,
+        method: "POST".into(),
+        path: "/x".into(),
+        headers: Vec::new(),
+        body: Body::default(),
+        key: None,
+        is_idempotent,
+        depth: 0,
+        remaining_us: 0,
+        avoid: None,
+    })
+}
+
+async fn run(upstreams: &Upstreams, address: SocketAddr, is_idempotent: bool) -> Report {
+    let soon = Instant::now() + Duration::from_secs(2);
+    let limits = AttemptLimits {
+        deadline: soon + Duration::from_secs(1),
+        run_until: soon,
+        body_limit_bytes: 100,
+        must_connect: false,
+    };
+    let attempt = Attempt::new(call(is_idempotent));
+    upstreams
+        .run(&"up".into(), address, attempt, "context", limits)
+        .await
+}
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+#[gtest]
+#[tokio::test]
+async fn a_booking_cut_on_a_reused_connection_is_sent_once_and_unknown() {
+    let (address, count) = serve(vec![GOOD, "", GOOD]).await;
+    let upstreams = Upstreams::default();
+    run(&upstreams, address, false).await;
+
+    let report = run(&upstreams, address, false).await;
+
+    expect_that!(count.load(Ordering::SeqCst), eq(2));
+    expect_that!(report.signal, eq(Signal::Reset));
+    let is_unknown = matches!(report.end, End::Done(Outcome::Unknown { .. }));
+    expect_that!(is_unknown, eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn redirects_are_answers_and_are_not_followed() {
+    let redirect = "HTTP/1.1 307 x\r\nlocation: /y\r\ncontent-length: 0\r\n\r\n";
+    let (address, count) = serve(vec![redirect, GOOD]).await;
+
+    let report = run(&Upstreams::default(), address, false).await;
+
+    expect_that!(count.load(Ordering::SeqCst), eq(1));
+    let is_answer =
+        matches!(&report.end, End::Done(Outcome::Result(answer)) if answer.status == 307);
+    expect_that!(is_answer, eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_truncated_answer_is_never_a_short_success() {
+    let short = "HTTP/1.1 200 OK\r\ncontent-length: 50\r\nconnection: close\r\n\r\nonly this";
+    for is_idempotent in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = vec![0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let _ = stream.write_all(short.as_bytes()).await;
+        });
+
+        let report = run(&Upstreams::default(), address, is_idempotent).await;
+
+        let is_result = matches!(report.end, End::Done(Outcome::Result(_)));
+        expect_that!(is_result, eq(false));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn too_large_an_answer_is_not_a_result() {
+    let large = "HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n\
+        xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx";
+    let (address, _) = serve(vec![large]).await;
+
+    let report = run(&Upstreams::default(), address, false).await;
+
+    let is_unknown = matches!(report.end, End::Done(Outcome::Unknown { .. }));
+    expect_that!(is_unknown, eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_refused_connection_is_proof_that_nothing_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+
+    let report = run(&Upstreams::default(), address, false).await;
+
+    expect_that!(report.signal, eq(Signal::Unconnected));
+    expect_that!(matches!(report.end, End::NotStarted(_)), eq(true));
+}
--- a/trials/standin/upstream.rs
+++ b/trials/standin/upstream.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use axum::body::{Bytes, to_bytes};
+use axum::body::{Body as AxumBody, Bytes, to_bytes};
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use chicorywing::request::headers;
+use futures::{StreamExt, stream};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -46,6 +47,9 @@
     /// mean time of a call
     #[argh(option, default = "5")]
     service_ms: u64,
+    /// address that is told of each run before it begins
+    #[argh(option)]
+    ledger: Option<SocketAddr>,
 }
 
 /// What the upstream is told to do wrong.
@@ -75,6 +79,8 @@
     Error,
     /// Answers are cut in the middle of the body.
     Truncate,
+    /// Answers stop in the middle of the body and never go on.
+    Stall,
 }
 
 /// What the upstream has counted.
@@ -94,8 +100,18 @@
     probes: u64,
 }
 
+/// One run, as the ledger is told.
+#[derive(Debug, Serialize)]
+struct Run {
+    upstream: String,
+    key: String,
+    at_once: usize,
+    is_cold: bool,
+}
+
 struct Upstream {
     args: UpstreamArgs,
+    client: reqwest::Client,
     running: AtomicUsize,
     answered: AtomicUsize,
     faults: Mutex<Faults>,
@@ -109,6 +125,7 @@
     let address = args.address;
     let upstream = Arc::new(Upstream {
         args,
+        client: reqwest::Client::new(),
         running: AtomicUsize::new(0),
         answered: AtomicUsize::new(0),
         faults: Mutex::default(),
@@ -193,7 +210,7 @@
     };
     let at_once = upstream.running.fetch_add(1, Ordering::Relaxed) + 1;
     let _running = Running(&upstream);
-    note_start(&upstream, &parts.headers, at_once);
+    note_start(&upstream, &parts.headers, at_once).await;
     let factor = faults.slow_factor.max(1);
     sleep(Duration::from_millis(
         service_ms(&upstream, &parts.headers) * factor,
@@ -201,20 +218,30 @@
     .await;
     upstream.answered.fetch_add(1, Ordering::Relaxed);
     upstream.count(|counts| counts.finished += 1);
-    answer(
-        &upstream,
-        &parts,
-        &body,
-        at_once,
-        faults.mode == Mode::Truncate,
-    )
+    answer(&upstream, &parts, &body, at_once, faults.mode)
 }
 
-fn note_start(upstream: &Upstream, map: &HeaderMap, at_once: usize) {
+async fn note_start(upstream: &Upstream, map: &HeaderMap, at_once: usize) {
     let key = map
         .get(headers::IDEMPOTENCY_KEY)
         .and_then(|key| key.to_str().ok());
     let is_cold = upstream.is_cold();
+    if let Some(ledger) = upstream.args.ledger {
+        let run = Run {
+            upstream: upstream.args.name.clone(),
+            key: key.unwrap_or_default().to_owned(),
+            at_once,
+            is_cold,
+        };
+        let told = upstream
+            .client
+            .post(format!("http://{ledger}/run"))
+            .json(&run);
+        // A run that the ledger was not told of would not be counted.
+        if told.send().await.is_err() {
+            std::process::abort();
+        }
+    }
     upstream.count(|counts| {
         counts.started += 1;
         counts.most_at_once = counts.most_at_once.max(at_once);
@@ -225,7 +252,7 @@
             *counts.runs.entry(key.to_owned()).or_default() += 1;
         }
     });
-    if is_cold && at_once > upstream.args.cold_slots.max(upstream.args.slots) {
+    if is_cold && at_once > upstream.args.cold_slots {
         std::process::abort();
     }
 }
@@ -242,7 +269,7 @@
     parts: &axum::http::request::Parts,
     body: &Bytes,
     at_once: usize,
-    truncates: bool,
+    mode: Mode,
 ) -> Response {
     let percent = at_once * 90 / upstream.args.slots;
     let text = format!(
@@ -252,12 +279,17 @@
         upstream.args.name,
         String::from_utf8_lossy(body)
     );
-    let mut response = if truncates {
-        let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
-        let chunks = [Ok(half), Err(std::io::Error::other("cut"))];
-        axum::body::Body::from_stream(futures::stream::iter(chunks)).into_response()
-    } else {
-        text.into_response()
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let mut response = match mode {
+        Mode::Truncate => {
+            let chunks = [Ok(half), Err(std::io::Error::other("cut"))];
+            AxumBody::from_stream(stream::iter(chunks)).into_response()
+        }
+        Mode::Stall => {
+            let first = stream::iter([Ok::<_, std::io::Error>(half)]);
+            AxumBody::from_stream(first.chain(stream::pending())).into_response()
+        }
+        _ => text.into_response(),
     };
     let report = format!(
         "TEXT application_utilization={}.{:02}",
