Keep an instance that was out of touch from doubting all keys

Cause: after a freeze of 5 s or more all others are silent at once, which was noted as the loss of every pair; its keys were unknown for ten minutes. And losses were looked for only when the view changed.

Change: losses are noted only by an instance that has heard a majority for 3 s, and on every look.

Conclusion: real double losses are still doubted, freezes are not.

--- a/src/process/members.rs
+++ b/src/process/members.rs
@@ -13,6 +13,8 @@
 pub const SILENCE_LIMIT_MS: u64 = 5_000;
 /// Time for which earlier views still count when a key is claimed.
 pub const SETTLE_MS: u64 = 10_000;
+/// Time in which an instance that was out of touch hears of all others again.
+const CATCH_UP_MS: u64 = 3_000;
 /// Time for which a lost instance counts towards the size of the fleet.
 const FLEET_MEMORY_MS: u64 = 60_000;
 
@@ -143,6 +145,7 @@
     past: VecDeque<(u64, Arc<View>)>,
     gone_ms: HashMap<u64, u64>,
     losses: Vec<Loss>,
+    out_of_touch_ms: Option<u64>,
 }
 
 /// A [`LostView`] as this instance keeps it.
@@ -180,6 +183,7 @@
             past: VecDeque::new(),
             gone_ms: HashMap::new(),
             losses: Vec::new(),
+            out_of_touch_ms: None,
         }
     }
 
@@ -412,6 +416,7 @@
         }
         let view = View::new(members);
         if view == *self.view {
+            self.note_losses(now_ms);
             return false;
         }
         let old = std::mem::replace(&mut self.view, Arc::new(view));
@@ -425,8 +430,20 @@
     /// Notes which recent views have lost two processes within the time that
     /// records take to reach their new pairs.
     fn note_losses(&mut self, now_ms: u64) {
+        let view = Arc::clone(&self.view);
+        let is_back = |gone: u64| view.members().iter().any(|found| found.incarnation == gone);
         self.gone_ms
-            .retain(|_, gone_ms| now_ms.saturating_sub(*gone_ms) < SETTLE_MS);
+            .retain(|gone, gone_ms| now_ms.saturating_sub(*gone_ms) < SETTLE_MS && !is_back(*gone));
+        if !self.has_majority(now_ms) {
+            // Most others seem gone: rather this instance was out of touch.
+            self.out_of_touch_ms = Some(now_ms);
+        }
+        let is_catching_up = self
+            .out_of_touch_ms
+            .is_some_and(|last_ms| now_ms.saturating_sub(last_ms) < CATCH_UP_MS);
+        if is_catching_up {
+            return;
+        }
         for (_, view) in &self.past {
             for member in view.members() {
                 let has_left = self
