--- a/src/connection/wire.rs
+++ b/src/connection/wire.rs
@@ -71,6 +71,8 @@
     pub fingerprint: u64,
     /// Incarnation of the claimant.
     pub by: u64,
+    /// Incarnation of the process that is asked.
+    pub to: u64,
 }
 
 /// Tells how a key's call ended, or that its claim is given up.
--- a/src/process/greeter.rs
+++ b/src/process/greeter.rs
@@ -19,9 +19,10 @@
 use crate::connection::wire::Greeting;
 
 /// Interval between greetings.
-const INTERVAL: Duration = Duration::from_millis(400);
-/// Instances greeted at a time.
-const FANOUT: usize = 3;
+const INTERVAL: Duration = Duration::from_millis(600);
+/// Instances greeted at a time; with the interval and the length of a greeting
+/// this keeps a node's greetings within some 5 KB/s, whatever the fleet's size.
+const FANOUT: usize = 1;
 /// Time in which a greeting must be answered.
 const LIMIT: Duration = Duration::from_millis(300);
 /// Time in which a joining instance must be taught.
--- a/src/process/holder.rs
+++ b/src/process/holder.rs
@@ -1,39 +1,33 @@
-//! Runs calls in the pools that this instance holds, and takes pools over.
+//! Runs calls in the pools that this instance holds.
+
+mod takeover;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::prelude::*;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
-use super::choice::PoolName;
 use super::clock::deadline_in_us;
 use super::decisions::Kind;
-use super::members::Member;
-use super::metrics::Counter;
 use super::node::Node;
-use super::pool::{Inherited, RefuseReason};
-use super::pool_actor::{
-    Inherit, Placed, PoolActor, Release, Reopen, Running, Slot, Submit, Withdraw,
-};
+use super::pool::RefuseReason;
+use super::pool_actor::{Placed, PoolActor, Slot, Submit, Withdraw};
 use super::queue::Waiting;
-use crate::connection::peer::PeerError;
 use crate::connection::upstream::{AttemptLimits, End};
-use crate::connection::wire::{Ran, Released, Run};
+use crate::connection::wire::{Ran, Run};
 use crate::request::attempt::{Attempt, Held};
 use crate::request::call::Call;
 use crate::request::context::Context;
 use crate::request::outcome::{NotRunReason, Outcome};
+use takeover::held_pool;
+pub use takeover::{release, running, start_held_pools};
 
 /// Upstreams that one call may be refused by before it is given up.
 const REFUSALS_MAX: usize = 3;
 /// Time in which an upstream drops a run whose connection was closed.
 const CANCEL_GRACE_MS: u64 = 100;
-/// Time in which a predecessor must give a pool up.
-const RELEASE_LIMIT: Duration = Duration::from_millis(250);
-/// Interval between questions to a predecessor that still runs calls.
-const RELEASE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a call in a pool of this instance.
 pub async fn run_here(node: &Arc<Node>, run: &Run) -> Ran {
@@ -180,194 +174,6 @@
     }
 }
 
-/// The actor of a pool that this instance holds by its view.
-async fn held_pool(node: &Arc<Node>, name: &PoolName) -> Option<ActorRef<PoolActor>> {
-    if !is_holder(node, name) {
-        return None;
-    }
-    let (actor, is_new) = node.start_pool(name)?;
-    let was_closed = !is_new && actor.ask(Reopen).await.unwrap_or(false);
-    if is_new || was_closed {
-        begin_take_over(node, name, &actor);
-    }
-    Some(actor)
-}
-
-/// Starts every pool that this instance holds by its view.
-pub async fn start_held_pools(node: &Arc<Node>) {
-    if !node.is_joined() {
-        return;
-    }
-    let objects = node.objects();
-    for service in objects.services.values() {
-        for data_centre in &service.data_centres {
-            let name = PoolName {
-                service: Arc::clone(&service.name),
-                data_centre: Arc::clone(data_centre),
-            };
-            held_pool(node, &name).await;
-        }
-    }
-}
-
-fn is_holder(node: &Node, name: &PoolName) -> bool {
-    let view = node.view();
-    let holder = view.holder(&name.service, &name.data_centre);
-    holder.is_some_and(|holder| **holder == *node.me)
-}
-
-/// Counts the slots as busy, then asks who held the pool before.
-fn begin_take_over(node: &Arc<Node>, name: &PoolName, actor: &ActorRef<PoolActor>) {
-    node.metrics.count(Counter::Takeovers);
-    let run_limit_ms = node
-        .objects()
-        .services
-        .get(&name.service)
-        .map_or(0, |service| service.run_limit_ms);
-    inherit_all(node, actor, run_limit_ms.max(CANCEL_GRACE_MS));
-    let node = Arc::clone(node);
-    let name = name.clone();
-    let actor = actor.clone();
-    tokio::spawn(async move { take_over(&node, &name, &actor).await });
-}
-
-fn inherit_all(node: &Node, actor: &ActorRef<PoolActor>, busy_ms: u64) {
-    let inherited = Inherited {
-        upstream: None,
-        calls: None,
-        is_warm: false,
-        until_us: node.clock.now_us() + busy_ms * 1000,
-    };
-    let _ = actor.tell(Inherit(inherited)).try_send();
-}
-
-async fn take_over(node: &Arc<Node>, name: &PoolName, actor: &ActorRef<PoolActor>) {
-    let mut is_certain = true;
-    let mut released = None;
-    for member in predecessors(node, name) {
-        match ask_release(node, name, &member).await {
-            Ok(answer) if answer.upstreams.is_empty() => {}
-            Ok(answer) => released = Some((member, answer)),
-            Err(error) if error.is_refused() => node.verify(&member, &error).await,
-            Err(error) => {
-                tracing::info!(target: "placement", pool = ?name, %error, "no release");
-                node.verify(&member, &error).await;
-                // A process that has ended runs nothing; a silent one may.
-                is_certain &= node.members().is_dead(&member);
-            }
-        }
-    }
-    if !is_certain {
-        return;
-    }
-    match released {
-        Some((member, answer)) => follow_release(node, name, actor, &member, answer).await,
-        None => inherit_all(node, actor, CANCEL_GRACE_MS),
-    }
-    tracing::info!(target: "placement", pool = ?name, "took the pool over");
-}
-
-/// Follows the calls of a predecessor until none is left.
-async fn follow_release(
-    node: &Arc<Node>,
-    name: &PoolName,
-    actor: &ActorRef<PoolActor>,
-    member: &Arc<Member>,
-    mut answer: Released,
-) {
-    let run_limit_ms = node
-        .objects()
-        .services
-        .get(&name.service)
-        .map_or(0, |service| service.run_limit_ms);
-    let until_us = node.clock.now_us() + run_limit_ms * 1000;
-    inherit_all(node, actor, 0);
-    loop {
-        let mut running = 0;
-        for upstream in &answer.upstreams {
-            running += upstream.in_flight;
-            let inherited = Inherited {
-                upstream: Some(Arc::clone(&upstream.name)),
-                calls: Some(upstream.in_flight),
-                is_warm: upstream.is_warm,
-                until_us,
-            };
-            let _ = actor.tell(Inherit(inherited)).try_send();
-        }
-        let is_over = running == 0 || node.clock.now_us() >= until_us;
-        if is_over || !is_holder(node, name) {
-            return;
-        }
-        sleep(RELEASE_INTERVAL).await;
-        match ask_running(node, name, member).await {
-            Ok(next) => answer = next,
-            Err(_) => return,
-        }
-    }
-}
-
-async fn ask_release(node: &Node, name: &PoolName, member: &Member) -> Result<Released, PeerError> {
-    let deadline = Instant::now() + RELEASE_LIMIT;
-    let name = name.clone();
-    node.peers
-        .call(member.address, deadline, |client, context| async move {
-            client.release(context, name).await
-        })
-        .await
-}
-
-async fn ask_running(node: &Node, name: &PoolName, member: &Member) -> Result<Released, PeerError> {
-    let deadline = Instant::now() + RELEASE_LIMIT;
-    let name = name.clone();
-    node.peers
-        .call(member.address, deadline, |client, context| async move {
-            client.running(context, name).await
-        })
-        .await
-}
-
-/// Who may have held the pool by a recent view.
-fn predecessors(node: &Node, name: &PoolName) -> Vec<Arc<Member>> {
-    let now_ms = node.clock.now_ms();
-    let views = node.members().recent_views(now_ms);
-    let mut found: Vec<Arc<Member>> = Vec::new();
-    for view in views {
-        let others = view.without(&node.me);
-        let candidates = [
-            view.holder(&name.service, &name.data_centre),
-            others.holder(&name.service, &name.data_centre),
-        ];
-        for candidate in candidates.into_iter().flatten() {
-            if **candidate != *node.me && !found.contains(candidate) {
-                found.push(Arc::clone(candidate));
-            }
-        }
-    }
-    found
-}
-
-/// Gives a pool of this instance up.
-pub async fn release(node: &Arc<Node>, name: &PoolName) -> Released {
-    let Some(actor) = node.pool(name) else {
-        return Released {
-            upstreams: Vec::new(),
-        };
-    };
-    let upstreams = actor.ask(Release).await.unwrap_or_default();
-    Released { upstreams }
-}
-
-/// Tells what still runs in a pool of this instance.
-pub async fn running(node: &Arc<Node>, name: &PoolName) -> Released {
-    let Some(actor) = node.pool(name) else {
-        return Released {
-            upstreams: Vec::new(),
-        };
-    };
-    let upstreams = actor.ask(Running).await.unwrap_or_default();
-    Released { upstreams }
-}
-
 fn to_not_run(reason: RefuseReason) -> NotRunReason {
     match reason {
         RefuseReason::Overloaded => NotRunReason::Overloaded,
--- a/src/process/keys.rs
+++ b/src/process/keys.rs
@@ -68,6 +68,8 @@
     OtherWork,
     /// The register is full.
     Full,
+    /// Another process than the one that is asked, which may know nothing.
+    Stranger,
 }
 
 #[derive(Clone, Debug)]
--- a/src/process/members.rs
+++ b/src/process/members.rs
@@ -3,34 +3,29 @@
 //! Every instance works this out from what it has heard. Views differ for a
 //! while; `docs/design/membership.md` says what rests on them and what not.
 
+mod view;
+
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::Rng;
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
-/// Silence after which an instance no longer takes part.
-pub const SILENCE_LIMIT_MS: u64 = 5_000;
+pub use view::{Member, View, hash_bytes, hash_words};
+
+/// Silence after which an instance no longer takes part, for the smallest
+/// fleet and for each instance more: hearsay takes longer to reach all.
+const SILENCE_LIMIT_MS: u64 = 5_000;
+const SILENCE_PER_MEMBER_MS: u64 = 400;
 /// Time for which earlier views still count when a key is claimed.
 pub const SETTLE_MS: u64 = 10_000;
 /// Time in which an instance that was out of touch hears of all others again.
 const CATCH_UP_MS: u64 = 3_000;
-/// Time for which a lost instance counts towards the size of the fleet.
+/// Time for which a silent instance counts towards the size of the fleet.
 const FLEET_MEMORY_MS: u64 = 60_000;
 
-/// One process of an instance; a restart makes a new incarnation.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Member {
-    /// Name of the instance.
-    pub name: Arc<str>,
-    /// Random number of this process.
-    pub incarnation: u64,
-    /// Data centre of the instance.
-    pub data_centre: Arc<str>,
-    /// Where it listens for other instances.
-    pub address: SocketAddr,
-}
-
 /// What one instance has heard of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hearsay {
@@ -42,79 +37,6 @@
     pub is_leaving: bool,
 }
 
-/// The instances that take part, in order of names.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct View {
-    members: Vec<Arc<Member>>,
-}
-
-impl View {
-    /// A view of these instances.
-    #[must_use]
-    pub fn new(mut members: Vec<Arc<Member>>) -> Self {
-        members.sort_by(|a, b| (&a.name, a.incarnation).cmp(&(&b.name, b.incarnation)));
-        Self { members }
-    }
-
-    /// The instances.
-    #[must_use]
-    pub fn members(&self) -> &[Arc<Member>] {
-        &self.members
-    }
-
-    /// The view without one process.
-    #[must_use]
-    pub fn without(&self, member: &Member) -> Self {
-        let mut members = self.members.clone();
-        members.retain(|other| **other != *member);
-        Self { members }
-    }
-
-    /// Whether this process takes part.
-    #[must_use]
-    pub fn contains(&self, member: &Member) -> bool {
-        self.members.iter().any(|other| **other == *member)
-    }
-
-    /// The instance that holds the pool of a service in a data centre.
-    ///
-    /// An instance of that data centre, or any where it has none.
-    #[must_use]
-    pub fn holder(&self, service: &str, data_centre: &str) -> Option<&Arc<Member>> {
-        let seed = hash_words(&[service, data_centre]);
-        let is_near = |member: &&Arc<Member>| &*member.data_centre == data_centre;
-        let near = self.members.iter().filter(is_near);
-        near.max_by_key(|member| score(seed, &member.name))
-            .or_else(|| {
-                self.members
-                    .iter()
-                    .max_by_key(|member| score(seed, &member.name))
-            })
-    }
-
-    /// The two instances that must know a key before its call may run.
-    #[must_use]
-    pub fn pair(&self, key: u64) -> Vec<Arc<Member>> {
-        let mut first: Option<(u64, &Arc<Member>)> = None;
-        let mut second: Option<(u64, &Arc<Member>)> = None;
-        for member in &self.members {
-            let rank = (score(key, &member.name), member);
-            if first.is_none_or(|best| rank.0 > best.0) {
-                second = first;
-                first = Some(rank);
-            } else if second.is_none_or(|best| rank.0 > best.0) {
-                second = Some(rank);
-            }
-        }
-        let ranks = [first, second];
-        ranks
-            .into_iter()
-            .flatten()
-            .map(|(_, member)| Arc::clone(member))
-            .collect()
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Heard {
     member: Arc<Member>,
@@ -125,11 +47,11 @@
 }
 
 impl Heard {
-    fn is_silent(&self, now_ms: u64) -> bool {
+    fn is_silent(&self, now_ms: u64, limit_ms: u64) -> bool {
         let is_mute = self
             .silent_ms
             .is_some_and(|silent_ms| self.heard_ms <= silent_ms);
-        is_mute || now_ms.saturating_sub(self.heard_ms) >= SILENCE_LIMIT_MS
+        is_mute || now_ms.saturating_sub(self.heard_ms) >= limit_ms
     }
 }
 
@@ -236,7 +158,7 @@
     /// Joins: the view without this process counts as an earlier one.
     pub fn on_joined(&mut self, now_ms: u64) {
         let before = self.view.without(&self.me);
-        if !before.members.is_empty() {
+        if !before.members().is_empty() {
             self.past.push_front((now_ms, Arc::new(before)));
         }
     }
@@ -288,24 +210,27 @@
         contacts
     }
 
-    /// Up to `most` of what to tell others, this process first.
-    #[must_use]
-    pub fn hearsay(&self, now_ms: u64, most: usize) -> Vec<Hearsay> {
+    fn silence_limit_ms(&self) -> u64 {
+        let others = u64::try_from(self.heard.len()).unwrap_or(u64::MAX);
+        SILENCE_LIMIT_MS + SILENCE_PER_MEMBER_MS.saturating_mul(others)
+    }
+
+    /// Up to `most` of what to tell others: this process, then any.
+    pub fn hearsay<R: Rng>(&self, now_ms: u64, most: usize, random: &mut R) -> Vec<Hearsay> {
         let mut hearsay = vec![Hearsay {
             member: Arc::clone(&self.me),
             age_ms: 0,
             is_leaving: self.is_leaving,
         }];
+        let limit_ms = self.silence_limit_ms();
         let mut others: Vec<&Heard> = self.heard.values().collect();
-        others.sort_by_key(|heard| std::cmp::Reverse(heard.heard_ms));
+        others.retain(|heard| !heard.is_silent(now_ms, limit_ms));
+        others.shuffle(random);
         for heard in others {
             let age_ms = now_ms.saturating_sub(heard.heard_ms);
-            if hearsay.len() >= most || age_ms >= SILENCE_LIMIT_MS {
+            if hearsay.len() >= most {
                 break;
             }
-            if heard.is_silent(now_ms) {
-                continue;
-            }
             hearsay.push(Hearsay {
                 member: Arc::clone(&heard.member),
                 age_ms,
@@ -320,13 +245,15 @@
     /// The fleet is what the list names and what was heard within a minute.
     #[must_use]
     pub fn has_majority(&self, now_ms: u64) -> bool {
+        let limit_ms = self.silence_limit_ms();
         let mut names: HashSet<&str> = HashSet::new();
         names.insert(&self.me.name);
         for (name, _) in &self.listed {
             names.insert(name);
         }
         for (name, heard) in &self.heard {
-            let is_remembered = now_ms.saturating_sub(heard.heard_ms) < FLEET_MEMORY_MS;
+            let silence_ms = now_ms.saturating_sub(heard.heard_ms);
+            let is_remembered = silence_ms < limit_ms + FLEET_MEMORY_MS;
             if is_remembered && !heard.is_leaving && !self.is_dead(&heard.member) {
                 names.insert(name);
             }
@@ -336,7 +263,7 @@
                 names.remove(&*heard.member.name);
             }
         }
-        self.view.members.len() * 2 > names.len()
+        self.view.members().len() * 2 > names.len()
     }
 
     /// Whether a process is known to have ended.
@@ -404,12 +331,14 @@
 
     /// Works the view out again; `true` if it changed.
     pub fn renew(&mut self, now_ms: u64) -> bool {
+        let limit_ms = self.silence_limit_ms();
         let mut members = Vec::new();
         if !self.is_leaving {
             members.push(Arc::clone(&self.me));
         }
         for heard in self.heard.values() {
-            if heard.is_silent(now_ms) || heard.is_leaving || self.is_dead(&heard.member) {
+            if heard.is_silent(now_ms, limit_ms) || heard.is_leaving || self.is_dead(&heard.member)
+            {
                 continue;
             }
             members.push(Arc::clone(&heard.member));
@@ -485,41 +414,3 @@
         }
     }
 }
-
-/// FNV-1a over words, alike in every process and version.
-#[must_use]
-pub fn hash_words(words: &[&str]) -> u64 {
-    let mut hash = FNV_OFFSET;
-    for word in words {
-        hash = hash_bytes(hash, word.as_bytes());
-        hash = hash_bytes(hash, &[0xff]);
-    }
-    mix(hash)
-}
-
-/// FNV-1a over bytes, from an earlier state.
-#[must_use]
-pub fn hash_bytes(seed: u64, bytes: &[u8]) -> u64 {
-    let mut hash = seed;
-    for byte in bytes {
-        hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-    }
-    hash
-}
-
-/// Start of FNV-1a with 64 bits.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-/// Multiplier of FNV-1a with 64 bits.
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
-/// Rendezvous score of an instance for a seed.
-fn score(seed: u64, name: &str) -> u64 {
-    mix(hash_bytes(seed, name.as_bytes()))
-}
-
-/// Finaliser of `SplitMix64`.
-fn mix(mut hash: u64) -> u64 {
-    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -32,9 +32,9 @@
 use crate::version::objects::Objects;
 
 /// Others that one greeting tells of.
-const HEARSAY_TOLD: usize = 16;
+const HEARSAY_TOLD: usize = 8;
 /// Strikes that one greeting tells of.
-const STRIKES_TOLD: usize = 16;
+const STRIKES_TOLD: usize = 8;
 /// Thousandths of an attempt that a first attempt earns for retries.
 const RETRY_EARNED_MILLI: u64 = 100;
 /// Retries that an organisation has at the start.
@@ -386,7 +386,9 @@
     pub fn greeting(&self) -> Greeting {
         let now_ms = self.clock.now_ms();
         let strikes = lock(&self.poison).recent(self.clock.now_us(), STRIKES_TOLD);
-        let mut hearsay = self.members().hearsay(now_ms, HEARSAY_TOLD);
+        let mut hearsay = self
+            .members()
+            .hearsay(now_ms, HEARSAY_TOLD, &mut rand::rng());
         if !self.is_joined() {
             // Not yet part of the fleet: others must not count on it.
             hearsay.remove(0);
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -27,8 +27,9 @@
 
 /// Timeout of a call that names none, in milliseconds.
 pub const DEFAULT_TIMEOUT_MS: u64 = 2_000;
-/// Longest timeout of a call, in milliseconds.
-pub const MAX_TIMEOUT_MS: u64 = 600_000;
+/// Longest timeout of a call, in milliseconds; half of the time for which a
+/// key is remembered, so that no run outlives its key.
+pub const MAX_TIMEOUT_MS: u64 = 300_000;
 /// Longest idempotency key, in bytes.
 pub const MAX_KEY_BYTES: usize = 200;
 /// Utilisation from which an upstream counts as overloaded.
--- a/tests/fleet/scenarios.rs
+++ b/tests/fleet/scenarios.rs
@@ -321,6 +321,68 @@
     expect_that!(worst, lt(Duration::from_secs(1)));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_lost_and_restarted_instances_do_not_make_a_key_run_again() {
+    let mut env = TestEnv::start(3, &[upstream("a"), upstream("b"), upstream("c")]).await;
+    let mut firsts = Vec::new();
+    for number in 0..12 {
+        firsts.push(env.book(0, &format!("lost-{number}")).await);
+    }
+
+    // The third knows some of the keys; the restarted two know none.
+    for number in 1..3 {
+        env.kill(&format!("entry-{number}")).await;
+    }
+    for number in 1..3 {
+        env.add_entry(number).await;
+    }
+    env.wait_joined(3).await;
+    let mut repeated = Vec::new();
+    for number in 0..12 {
+        repeated.push(env.book(number % 3, &format!("lost-{number}")).await);
+    }
+
+    for reply in &firsts {
+        expect_that!(reply.outcome, eq("result"));
+    }
+    for reply in &repeated {
+        expect_that!(
+            reply.outcome,
+            any!(eq("result"), eq("unknown")),
+            "{reply:?}"
+        );
+    }
+    expect_that!(env.ledger.most_runs_of_a_key(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_fleet_does_not_run_known_keys_again() {
+    let mut env = TestEnv::start(2, &[upstream("a")]).await;
+    let first = env.book(0, "before-the-restart").await;
+    expect_that!(first.outcome, eq("result"));
+
+    for number in 0..2 {
+        env.kill(&format!("entry-{number}")).await;
+    }
+    for number in 0..2 {
+        env.add_entry(number).await;
+    }
+    env.wait_joined(2).await;
+    let again = env.book(1, "before-the-restart").await;
+
+    expect_that!(again.outcome, eq("unknown"));
+    expect_that!(env.ledger.runs_of("before-the-restart"), eq(1));
+    // A key that carries its time is known to be new.
+    sleep(Duration::from_secs(7)).await;
+    let now = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap();
+    let stamp = format!("{:012x}", now.as_millis());
+    let key = format!("{}-{}-7000-8000-000000000000", &stamp[..8], &stamp[8..]);
+    expect_that!(env.book(0, &key).await.outcome, eq("result"));
+    expect_that!(env.lookup(0, "/x").await.outcome, eq("result"));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_request_takes_down_few_upstreams() {
--- a/trials/standin/load.rs
+++ b/trials/standin/load.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use chicorywing::request::headers;
+use rand::RngExt;
 use reqwest::{Client, Method};
 use serde::Serialize;
 use tokio::time::{Instant, sleep};
@@ -23,7 +24,7 @@
     /// calls in all
     #[argh(option, default = "1000")]
     calls: u64,
-    /// time that a caller waits between calls
+    /// mean time that a caller waits between calls
     #[argh(option, default = "0")]
     pause_ms: u64,
     /// API key of the calls
@@ -107,7 +108,9 @@
             let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
             samples.push((took, mark));
             if self.args.pause_ms > 0 {
-                sleep(Duration::from_millis(self.args.pause_ms)).await;
+                // Of random length, so that callers do not call in step.
+                let pause_us = rand::rng().random_range(0..self.args.pause_ms * 2_000);
+                sleep(Duration::from_micros(pause_us)).await;
             }
         }
         samples
--- a/trials/standin/upstream.rs
+++ b/trials/standin/upstream.rs
@@ -212,10 +212,11 @@
     let _running = Running(&upstream);
     note_start(&upstream, &parts.headers, at_once).await;
     let factor = faults.slow_factor.max(1);
-    sleep(Duration::from_millis(
-        service_ms(&upstream, &parts.headers) * factor,
-    ))
-    .await;
+    let time_ms = service_ms(&upstream, &parts.headers) * factor;
+    // The shortest sleep takes a millisecond.
+    if time_ms > 0 {
+        sleep(Duration::from_millis(time_ms)).await;
+    }
     upstream.answered.fetch_add(1, Ordering::Relaxed);
     upstream.count(|counts| counts.finished += 1);
     answer(&upstream, &parts, &body, at_once, faults.mode)
