Tell a joining instance the views of its earlier processes

Both of the key's pair were killed and restarted at once; the first to restart had never heard of its own earlier process, so no view of its memory had that pair, and it found nobody to ask and nothing to doubt.

Change: a lesson carries the teacher's recent views; they count as earlier views of the joining process, so the lost pair is uncovered for 10 s and noted as lost for the retention.

Conclusion: the double loss with instant restarts ends unknown, never in a second run. Loss of both with no survivor who saw them is the founder's doubt.

--- a/src/connection/wire.rs
+++ b/src/connection/wire.rs
@@ -9,7 +9,7 @@
 
 use crate::process::choice::PoolName;
 use crate::process::keys::{Claim, KeyName, KeyRecord};
-use crate::process::members::{Hearsay, LostView, Member};
+use crate::process::members::{Hearsay, LostView, Member, View};
 use crate::request::call::Call;
 use crate::request::outcome::Outcome;
 
@@ -111,6 +111,8 @@
 pub struct Lesson {
     /// All records of keys.
     pub records: Vec<KeyRecord>,
+    /// Views in force of late, with the joining instance's earlier processes.
+    pub recent_views: Vec<View>,
     /// Views whose losses may have taken records along.
     pub lost_views: Vec<LostView>,
     /// Time for which records from before may be missing.
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,7 +6,9 @@
 use axum::Router;
 use axum::body::{Body as HttpBody, to_bytes};
 use axum::extract::{Request, State};
-use axum::http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use axum::http::header::{
+    AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::Response;
 use axum::routing::get;
@@ -29,6 +31,8 @@
 const CALL_PREFIX: &str = "/call/";
 /// Calls that one instance serves at once.
 const CALLS_MAX: usize = 4096;
+/// Room for the bodies of all calls that one instance reads at once, in KiB.
+const BODIES_MAX_KIB: usize = 128 * 1024;
 /// Time in which the body of a call must have come.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 /// When a caller may come back to an instance that is full or stopping.
@@ -85,6 +89,7 @@
 struct Entry {
     node: Arc<Node>,
     places: Arc<Semaphore>,
+    room_kib: Arc<Semaphore>,
 }
 
 /// The routes for callers.
@@ -92,6 +97,7 @@
     let entry = Entry {
         node,
         places: Arc::new(Semaphore::new(CALLS_MAX)),
+        room_kib: Arc::new(Semaphore::new(BODIES_MAX_KIB)),
     };
     Router::new()
         .route("/health/live", get(|| async { "live\n" }))
@@ -112,7 +118,7 @@
     let started = Instant::now();
     let node = &entry.node;
     let outcome = match entry.places.try_acquire() {
-        Ok(_place) => run(node, request, started).await,
+        Ok(_place) => run(&entry, request, started).await,
         Err(_) => Ok((
             Outcome::not_run(NotRunReason::Overloaded, COME_BACK_MS),
             "".into(),
@@ -137,10 +143,11 @@
 }
 
 async fn run(
-    node: &Arc<Node>,
+    entry: &Entry,
     request: Request,
     started: Instant,
 ) -> Result<(Outcome, Arc<str>), EntryError> {
+    let node = &entry.node;
     if node.accepted.load().version == 0 || !node.is_joined() || !node.may_send() {
         let outcome = Outcome::not_run(NotRunReason::Isolated, COME_BACK_MS);
         return Ok((outcome, "".into()));
@@ -157,6 +164,11 @@
     if !is_idempotent && key.is_none() {
         return Err(EntryError::KeyMissing(parts.method.to_string()));
     }
+    let room_kib = body_room_kib(&parts.headers, service.body_limit_bytes);
+    let Ok(_room) = entry.room_kib.try_acquire_many(room_kib) else {
+        let outcome = Outcome::not_run(NotRunReason::Overloaded, COME_BACK_MS);
+        return Ok((outcome, "".into()));
+    };
     let body = read_body(body, service.body_limit_bytes).await?;
     let deadline = started + Duration::from_millis(timeout_ms);
     let call = Arc::new(Call {
@@ -275,6 +287,18 @@
     map
 }
 
+/// Room that a body may take: as long as it says, else the most allowed.
+fn body_room_kib(map: &HeaderMap, limit_bytes: usize) -> u32 {
+    let said = map
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok());
+    // Without a length and without chunks there is no body.
+    let is_chunked = map.contains_key(TRANSFER_ENCODING);
+    let bytes = said.unwrap_or(if is_chunked { limit_bytes } else { 0 });
+    u32::try_from(bytes.min(limit_bytes).div_ceil(1024)).unwrap_or(u32::MAX)
+}
+
 async fn read_body(body: HttpBody, limit_bytes: usize) -> Result<bytes::Bytes, EntryError> {
     match timeout(BODY_LIMIT, to_bytes(body, limit_bytes)).await {
         Ok(Ok(bytes)) => Ok(bytes),
--- a/src/process/greeter.rs
+++ b/src/process/greeter.rs
@@ -227,7 +227,11 @@
         };
         let now_ms = node.clock.now_ms();
         doubt_ms = doubt_ms.max(lesson.doubt_ms);
-        node.members().on_lost_views(now_ms, lesson.lost_views);
+        {
+            let mut members = node.members();
+            members.on_lost_views(now_ms, lesson.lost_views);
+            members.on_recent_views(now_ms, lesson.recent_views);
+        }
         let mut register = node.register();
         for record in &lesson.records {
             register.learn(now_ms, record);
--- a/src/process/members.rs
+++ b/src/process/members.rs
@@ -158,8 +158,19 @@
     /// Joins: the view without this process counts as an earlier one.
     pub fn on_joined(&mut self, now_ms: u64) {
         let before = self.view.without(&self.me);
-        if !before.members().is_empty() {
-            self.past.push_front((now_ms, Arc::new(before)));
+        self.on_recent_views(now_ms, vec![before]);
+    }
+
+    /// Takes views over that were in force at others until now.
+    ///
+    /// They name earlier processes of this instance too, which it has never
+    /// heard of itself.
+    pub fn on_recent_views(&mut self, now_ms: u64, views: Vec<View>) {
+        for view in views {
+            let is_known = self.past.iter().any(|(_, known)| **known == view);
+            if !is_known && !view.members().is_empty() {
+                self.past.push_front((now_ms, Arc::new(view)));
+            }
         }
     }
 
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -112,6 +112,13 @@
         self.is_closed
     }
 
+    /// Whether nothing changes with time alone.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let is_empty = self.queue.is_empty() && self.held.is_empty();
+        is_empty && self.paying + self.trial == 0 && self.upstreams.is_settled()
+    }
+
     /// Name and address of an upstream.
     #[must_use]
     pub fn upstream(&self, index: usize) -> (&Arc<str>, SocketAddr) {
--- a/src/process/pool/upstreams.rs
+++ b/src/process/pool/upstreams.rs
@@ -163,6 +163,17 @@
         self.live == self.ejected
     }
 
+    /// Whether no upstream changes with time alone.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let is_settled = |upstream: &Upstream| {
+            !upstream.life.is_ejected()
+                && !upstream.wants_probe
+                && upstream.inherited.calls + upstream.lingering.calls == 0
+        };
+        self.upstreams.iter().all(is_settled)
+    }
+
     /// Whether an upstream has room.
     #[must_use]
     pub fn has_ready(&self) -> bool {
--- a/src/process/pool_actor.rs
+++ b/src/process/pool_actor.rs
@@ -7,7 +7,7 @@
 
 use kameo::prelude::*;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep};
 
 use super::choice::PoolName;
 use super::metrics::{Counter, Timer};
@@ -20,7 +20,7 @@
 use crate::connection::wire::ReleasedUpstream;
 use crate::version::objects::Service;
 
-/// Interval between ticks of a pool.
+/// Interval between ticks of a pool that is not idle.
 const TICK: Duration = Duration::from_millis(25);
 /// Strikes that a pool tells the process at once.
 const STRIKES_TOLD: usize = 64;
@@ -88,6 +88,7 @@
     node: Weak<Node>,
     replies: HashMap<Ticket, oneshot::Sender<Placed>>,
     decisions: Vec<Decision>,
+    is_armed: bool,
 }
 
 /// What a pool actor starts with.
@@ -105,28 +106,15 @@
     type Args = Start;
     type Error = std::convert::Infallible;
 
-    async fn on_start(start: Start, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+    async fn on_start(start: Start, _: ActorRef<Self>) -> Result<Self, Self::Error> {
         let now_us = start.node.upgrade().map_or(0, |node| node.clock.now_us());
-        let weak = actor.downgrade();
-        tokio::spawn(async move {
-            let mut ticks = interval(TICK);
-            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-            loop {
-                ticks.tick().await;
-                let Some(actor) = weak.upgrade() else {
-                    return;
-                };
-                if actor.tell(Tick).try_send().is_err() {
-                    return;
-                }
-            }
-        });
         Ok(Self {
             pool: Pool::new(start.service, now_us),
             name: start.name,
             node: start.node,
             replies: HashMap::new(),
             decisions: Vec::new(),
+            is_armed: false,
         })
     }
 }
@@ -139,6 +127,22 @@
         let now_us = node.clock.now_us();
         self.pool.handle(now_us, event, &mut self.decisions);
         self.carry_out(&node, actor);
+        self.arm(actor);
+    }
+
+    /// Makes a tick come; an idle pool has none.
+    fn arm(&mut self, actor: &ActorRef<Self>) {
+        if self.is_armed {
+            return;
+        }
+        self.is_armed = true;
+        let weak = actor.downgrade();
+        tokio::spawn(async move {
+            sleep(TICK).await;
+            if let Some(actor) = weak.upgrade() {
+                let _ = actor.tell(Tick).try_send();
+            }
+        });
     }
 
     fn carry_out(&mut self, node: &Arc<Node>, actor: &ActorRef<Self>) {
@@ -325,7 +329,12 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, context: &mut Context<Self, ()>) {
+        // Kept armed while the event is handled, so that it arms no other.
         self.handle_event(Event::Tick, &context.actor_ref().clone());
+        self.is_armed = false;
+        if !self.pool.is_idle() {
+            self.arm(&context.actor_ref().clone());
+        }
     }
 }
 
