Say unknown, not not-run, where nobody asked about the key

Cause, found by reading: an isolated, full or stopping entry told a keyed call "not-run" before anybody had been asked about its key, although an earlier attempt with that key may have run; so did a full register and a wrong call with a key.

Change: such calls end unknown with Retry-After (wrong ones keep their status).

The new checks were not run without it: that they would fail is read from the code.

Conclusion: not-run with a key now always rests on its pair.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -24,7 +24,7 @@
 use crate::request::call::Call;
 use crate::request::context::{Context, ContextError};
 use crate::request::headers::{self, HeaderError};
-use crate::request::outcome::{Answer, NotRunReason, Outcome};
+use crate::request::outcome::{Answer, NotRunReason, Outcome, UnknownReason};
 use crate::version::objects::{Objects, Service};
 
 /// First part of the path of a call.
@@ -117,12 +117,10 @@
 async fn serve(State(entry): State<Entry>, request: Request) -> Response {
     let started = Instant::now();
     let node = &entry.node;
+    let has_key = request.headers().contains_key(headers::IDEMPOTENCY_KEY);
     let outcome = match entry.places.try_acquire() {
         Ok(_place) => run(&entry, request, started).await,
-        Err(_) => Ok((
-            Outcome::not_run(NotRunReason::Overloaded, COME_BACK_MS),
-            "".into(),
-        )),
+        Err(_) => Ok(turn_away(NotRunReason::Overloaded, has_key)),
     };
     let took = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
     node.metrics.time(Timer::CallUs, took);
@@ -137,7 +135,7 @@
         }
         Err(error) => {
             node.metrics.count(Counter::CallsNotRun);
-            turn_down(&error)
+            turn_down(&error, has_key)
         }
     }
 }
@@ -148,9 +146,9 @@
     started: Instant,
 ) -> Result<(Outcome, Arc<str>), EntryError> {
     let node = &entry.node;
+    let has_key = request.headers().contains_key(headers::IDEMPOTENCY_KEY);
     if node.accepted.load().version == 0 || !node.is_joined() || !node.may_send() {
-        let outcome = Outcome::not_run(NotRunReason::Isolated, COME_BACK_MS);
-        return Ok((outcome, "".into()));
+        return Ok(turn_away(NotRunReason::Isolated, has_key));
     }
     let objects = node.objects();
     let (parts, body) = request.into_parts();
@@ -166,8 +164,7 @@
     }
     let room_kib = body_room_kib(&parts.headers, service.body_limit_bytes);
     let Ok(_room) = entry.room_kib.try_acquire_many(room_kib) else {
-        let outcome = Outcome::not_run(NotRunReason::Overloaded, COME_BACK_MS);
-        return Ok((outcome, "".into()));
+        return Ok(turn_away(NotRunReason::Overloaded, has_key));
     };
     let body = read_body(body, service.body_limit_bytes).await?;
     let deadline = started + Duration::from_millis(timeout_ms);
@@ -195,6 +192,17 @@
     Ok((outcome, id))
 }
 
+/// Turns a call away before anybody was asked about its key: it has not run,
+/// but an earlier call with the same key may have.
+fn turn_away(reason: NotRunReason, has_key: bool) -> (Outcome, Arc<str>) {
+    let outcome = if has_key {
+        Outcome::unknown(UnknownReason::RecordsLost, COME_BACK_MS)
+    } else {
+        Outcome::not_run(reason, COME_BACK_MS)
+    };
+    (outcome, "".into())
+}
+
 fn new_id(node: &Node) -> Arc<str> {
     format!(
         "{}-{:x}-{}",
@@ -363,10 +371,11 @@
     response
 }
 
-fn turn_down(error: &EntryError) -> Response {
+fn turn_down(error: &EntryError, has_key: bool) -> Response {
     let mut response = Response::new(HttpBody::from(format!("{error}\n")));
     *response.status_mut() = error.status();
-    set(&mut response, headers::OUTCOME, "not-run");
+    let mark = if has_key { "unknown" } else { "not-run" };
+    set(&mut response, headers::OUTCOME, mark);
     set(&mut response, headers::REASON, "bad-request");
     response
 }
--- a/src/process/keyed.rs
+++ b/src/process/keyed.rs
@@ -137,8 +137,10 @@
         Claim::OtherWork => {
             return Beginning::Over(Outcome::not_run(NotRunReason::KeyReused, 0));
         }
+        // An earlier attempt may be known elsewhere: nothing is proved.
         Claim::Full | Claim::Stranger => {
-            return Beginning::Over(Outcome::not_run(NotRunReason::KeysFull, ASK_AGAIN_MS));
+            let outcome = Outcome::unknown(UnknownReason::RecordsLost, ASK_AGAIN_MS);
+            return Beginning::Over(outcome);
         }
     }
     if let Some(running) = following.get(name) {
--- a/src/process/keyed/clearance.rs
+++ b/src/process/keyed/clearance.rs
@@ -160,7 +160,7 @@
     match claim {
         Claim::Known(KeyState::Ended(outcome)) => Outcome::clone(&outcome),
         Claim::OtherWork => Outcome::not_run(NotRunReason::KeyReused, 0),
-        Claim::Full => Outcome::not_run(NotRunReason::KeysFull, ASK_AGAIN_MS),
+        Claim::Full => Outcome::unknown(UnknownReason::RecordsLost, ASK_AGAIN_MS),
         Claim::Known(KeyState::Claimed(_)) | Claim::Granted | Claim::Stranger => {
             Outcome::unknown(UnknownReason::EarlierAttempt, ASK_AGAIN_MS)
         }
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -53,8 +53,6 @@
     NoService,
     /// The key was used for other work.
     KeyReused,
-    /// Too many keys are remembered.
-    KeysFull,
 }
 
 /// Why nobody can say whether a call ran.
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -438,5 +438,29 @@
         }
         let known = driver.sent.len() + driver.refused.len();
         assert!(known as u64 <= driver.next_ticket);
+
+        // Nothing leaks: afterwards all slots are used again.
+        while !driver.sent.is_empty() {
+            driver.end(0, Signal::Answered, 1_000);
+        }
+        driver.handle(Event::Listed(listed(4)));
+        for _ in 0..400 {
+            driver.now_us += 50_000;
+            driver.handle(Event::Tick);
+            for upstream in std::mem::take(&mut driver.probes) {
+                driver.handle(Event::Probed { upstream, healthy: true });
+            }
+        }
+        for _ in 0..100 {
+            (2_000..2_012).for_each(|id| driver.arrive(TierKind::Paying, "payer", id));
+            while !driver.sent.is_empty() {
+                driver.end(0, Signal::Answered, 1_000);
+            }
+        }
+        for fingerprint in 1_000..1_030 {
+            driver.arrive(TierKind::Paying, "payer", fingerprint);
+        }
+        let used = driver.sent.len() + driver.probes.len();
+        assert_eq!(used, 12, "{:?}", driver.pool.view());
     }
 }
