Drop an alias that nothing uses

Cause: read as a newcomer: SharedPeers names what no one shares. Change: removed. Ruled out: nothing else is touched. Conclusion: no behaviour changes.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use tarpc::client::RpcError;
@@ -206,6 +206,3 @@
     context.deadline = deadline.into_std();
     context
 }
-
-/// Shares one set of connections between tasks.
-pub type SharedPeers = Arc<Peers>;
