--- a/src/process/holder/takeover.rs
+++ b/src/process/holder/takeover.rs
@@ -87,8 +87,14 @@
     let mut released = None;
     for member in predecessors(node, name) {
         match ask_release(node, name, &member).await {
-            Ok(answer) if answer.upstreams.is_empty() => {}
-            Ok(answer) => released = Some((member, answer)),
+            Ok(answer) => {
+                // It may have been silent: unless it counts again, two
+                // instances keep taking the pool from each other.
+                node.on_alive(&member);
+                if !answer.upstreams.is_empty() {
+                    released = Some((member, answer));
+                }
+            }
             Err(error) if error.is_refused() => node.verify(&member, &error).await,
             Err(error) => {
                 tracing::info!(target: "placement", pool = ?name, %error, "no release");
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -16,7 +16,7 @@
 use super::decisions::{Decided, Decisions, Kind};
 use super::fence::Fence;
 use super::keys::{KeyName, Register};
-use super::members::{Member, Members, View};
+use super::members::{Hearsay, Member, Members, View};
 use super::metrics::{Counter, Metrics};
 use super::poison::{PoisonList, Strike};
 use super::pool::Listed;
@@ -421,6 +421,19 @@
         self.on_strikes(&strikes);
     }
 
+    /// A peer answered: it takes part again if it was silent.
+    pub fn on_alive(&self, member: &Arc<Member>) {
+        let hearsay = [Hearsay {
+            member: Arc::clone(member),
+            age_ms: 0,
+            is_leaving: false,
+        }];
+        let now_ms = self.clock.now_ms();
+        if self.members().on_hearsay(now_ms, &hearsay) {
+            self.on_view_changed();
+        }
+    }
+
     /// Logs a new view and wakes those who follow it.
     pub fn on_view_changed(&self) {
         let view = self.view();
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -18,8 +18,8 @@
 use crate::request::call::Call;
 use crate::request::outcome::{NotRunReason, Outcome, UnknownReason};
 
-/// Rounds in which a call may look for a pool.
-const ROUNDS_MAX: usize = 60;
+/// Rounds in which a call may look for a pool; its deadline comes first.
+const ROUNDS_MAX: usize = 400;
 /// Pools that may turn a call down before it is given up.
 const SPILLS_MAX: usize = 1;
 /// Attempts of a call that may be repeated.
