Give a refused call time for another upstream, and answer when none is left

Placement then counted pools without an upstream as alternatives and waited for them until it said no-holder.

Change: an upstream that refused is asked again after 25 ms, up to 8 refusals; only pools that are served count as alternatives, so the last refusal is answered at once with its own reason.

--- a/src/process/holder.rs
+++ b/src/process/holder.rs
@@ -7,7 +7,7 @@
 
 use kameo::prelude::*;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::clock::deadline_in_us;
 use super::decisions::Kind;
@@ -24,8 +24,11 @@
 use takeover::held_pool;
 pub use takeover::{release, running, start_held_pools};
 
-/// Upstreams that one call may be refused by before it is given up.
-const REFUSALS_MAX: usize = 3;
+/// Refusals of one call before it is given up.
+const REFUSALS_MAX: usize = 8;
+/// Pause before an upstream that refused is asked again, in which another one
+/// may get room.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(25);
 /// Time in which an upstream drops a run whose connection was closed.
 const CANCEL_GRACE_MS: u64 = 100;
 
@@ -40,6 +43,7 @@
     let deadline = deadline_in_us(run.call.remaining_us);
     let mut attempt = Attempt::new(Arc::clone(&run.call));
     let mut avoid = run.call.avoid.clone();
+    let mut refused_by: Option<Arc<str>> = None;
     for _ in 0..REFUSALS_MAX {
         let slot = match obtain_slot(node, &pool, &run.call, avoid.take(), deadline).await {
             Placed::Send(slot) => slot,
@@ -68,6 +72,10 @@
             End::Lost(_, reason) => return ran(Outcome::unknown(reason, 0), name, wait_us),
             End::NotStarted(held) => {
                 attempt = held;
+                if refused_by.as_ref() == Some(&name) {
+                    sleep(REFUSAL_PAUSE).await;
+                }
+                refused_by = Some(Arc::clone(&name));
                 avoid = Some(name);
             }
         }
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -17,6 +17,7 @@
 use crate::request::attempt::{Attempt, Held};
 use crate::request::call::Call;
 use crate::request::outcome::{NotRunReason, Outcome, UnknownReason};
+use crate::version::objects::Service;
 
 /// Rounds in which a call may look for a pool; its deadline comes first.
 const ROUNDS_MAX: usize = 400;
@@ -76,18 +77,7 @@
         let Some(service) = objects.services.get(&attempt.call().service) else {
             return Step::Over(attempt.give_up(NotRunReason::NoService, 0));
         };
-        let mut pools = Vec::with_capacity(service.data_centres.len());
-        let list = node.list.load_full();
-        for data_centre in &service.data_centres {
-            let pool = PoolName {
-                service: Arc::clone(&service.name),
-                data_centre: Arc::clone(data_centre),
-            };
-            let is_served = list.as_ref().is_some_and(|list| list.serves(&pool));
-            if is_served && objects.takes_work(data_centre) {
-                pools.push(pool);
-            }
-        }
+        let mut pools = self.served_pools(service);
         if pools.is_empty() {
             let after_ms = service.run_limit_ms;
             return Step::Over(attempt.give_up(NotRunReason::NoUpstream, after_ms));
@@ -220,16 +210,34 @@
         Step::Next(held)
     }
 
+    /// The pools of a service that may take work.
+    fn served_pools(&self, service: &Service) -> Vec<PoolName> {
+        let objects = self.node.objects();
+        let list = self.node.list.load_full();
+        let mut pools = Vec::with_capacity(service.data_centres.len());
+        for data_centre in &service.data_centres {
+            let pool = PoolName {
+                service: Arc::clone(&service.name),
+                data_centre: Arc::clone(data_centre),
+            };
+            let is_served = list.as_ref().is_some_and(|list| list.serves(&pool));
+            if is_served && objects.takes_work(data_centre) {
+                pools.push(pool);
+            }
+        }
+        pools
+    }
+
     /// Whether a pool is left that has not turned the call down.
     fn has_other(&self, held: &Attempt<Held>) -> bool {
         let objects = self.node.objects();
         let Some(service) = objects.services.get(&held.call().service) else {
             return false;
         };
-        let is_tried =
-            |name: &Arc<str>| self.tried.iter().any(|tried| tried.0.data_centre == *name);
-        let mut places = service.data_centres.iter();
-        places.any(|name| objects.takes_work(name) && !is_tried(name))
+        let is_tried = |pool: &PoolName| self.tried.iter().any(|tried| tried.0 == *pool);
+        self.served_pools(service)
+            .iter()
+            .any(|pool| !is_tried(pool))
     }
 
     /// Attempts a call again that may be repeated, within the budgets.
