Serve the users' platform by a gateway, thin path

Cause: the platform fixes how callers, upstreams and operators speak; the product had no way to serve by host and path or to read its store. Each request asks three upstreams for their load on the connections that it would take. No test of its own yet.

--- /dev/null
+++ b/src/bin/chicorywing-gateway.rs
@@ -0,0 +1,9 @@
+//! The daemon of the gateway.
+
+use std::process::ExitCode;
+
+use chicorywing::cli::gateway;
+
+fn main() -> ExitCode {
+    gateway::run()
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
 pub mod daemon;
 pub mod edit;
 pub mod exit_codes;
+pub mod gateway;
 pub mod operator;
 pub mod output;
 pub mod publish;
--- /dev/null
+++ b/src/decision/directory.rs
@@ -0,0 +1,232 @@
+//! The upstreams that are known, by what they report of themselves.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time after the store's return in which entries that lapsed meanwhile may
+/// come back; the platform promises about two seconds.
+pub const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum UpstreamState {
+    /// It takes work.
+    Ready,
+    /// It is leaving and takes nothing new.
+    Draining,
+}
+
+/// What an upstream reports of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamReport {
+    /// Unique name.
+    pub id: Arc<str>,
+    /// Start of its process, in Unix milliseconds; 0 if it does not tell.
+    pub born_ms: u64,
+    /// Number of the report within its process.
+    pub sequence: u64,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Data centre that holds it.
+    pub data_centre: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// Time for which it is still cold.
+    pub cold_left_ms: u64,
+}
+
+/// A known upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Its newest report.
+    pub report: UpstreamReport,
+    /// End of its cold time on the clock of this process.
+    pub cold_until_ms: u64,
+}
+
+/// How a report changed the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum Change {
+    /// A new upstream, or a new process under a known name.
+    Joined,
+    /// It no longer takes work.
+    Draining,
+    /// Other fields changed.
+    Updated,
+    /// It left.
+    Left,
+    /// Its entry went while the store was away; it may come back.
+    Lapsed,
+    /// Nothing that matters.
+    None,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    upstream: Arc<Upstream>,
+    lapses_at_ms: Option<u64>,
+}
+
+/// Upstreams by name, and those of each service that take work.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    entries: HashMap<Arc<str>, Entry>,
+    by_service: HashMap<Arc<str>, Arc<[Arc<Upstream>]>>,
+}
+
+impl Directory {
+    /// Takes a report in.
+    pub fn put(&mut self, report: UpstreamReport, now_ms: u64) -> Change {
+        let known = self.entries.get(&report.id);
+        let change = match known {
+            None => Change::Joined,
+            Some(entry) => compare(&entry.upstream.report, &report),
+        };
+        let is_lapsed = known.is_some_and(|entry| entry.lapses_at_ms.is_some());
+        let is_old = known.is_some_and(|entry| is_older(&report, &entry.upstream.report));
+        if is_old && !is_lapsed {
+            return Change::None;
+        }
+        let id = Arc::clone(&report.id);
+        let cold_until_ms = match report.cold_left_ms {
+            0 => 0,
+            left_ms => now_ms + left_ms,
+        };
+        let upstream = Arc::new(Upstream {
+            report,
+            cold_until_ms,
+        });
+        let entry = Entry {
+            upstream,
+            lapses_at_ms: None,
+        };
+        self.entries.insert(id, entry);
+        self.rebuild();
+        change
+    }
+
+    /// Takes an upstream's entry out.
+    ///
+    /// While the store is returning, the entry may only have lapsed; the
+    /// upstream then stays until [`LAPSE_GRACE_MS`] have passed.
+    pub fn remove(&mut self, id: &str, is_store_returning: bool, now_ms: u64) -> Change {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return Change::None;
+        };
+        let may_lapse = entry.upstream.report.state == UpstreamState::Ready;
+        if is_store_returning && may_lapse {
+            entry.lapses_at_ms = Some(now_ms + LAPSE_GRACE_MS);
+            return Change::Lapsed;
+        }
+        self.entries.remove(id);
+        self.rebuild();
+        Change::Left
+    }
+
+    /// Drops the lapsed entries that did not come back, and names them.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let mut gone = Vec::new();
+        for (id, entry) in &self.entries {
+            if entry.lapses_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                gone.push(Arc::clone(id));
+            }
+        }
+        for id in &gone {
+            self.entries.remove(id);
+        }
+        if !gone.is_empty() {
+            self.rebuild();
+        }
+        gone
+    }
+
+    /// When [`Directory::expire`] has something to do.
+    #[must_use]
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        self.entries
+            .values()
+            .filter_map(|entry| entry.lapses_at_ms)
+            .min()
+    }
+
+    /// Names of all known upstreams.
+    pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.entries.keys()
+    }
+
+    /// The upstream with this name.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
+    /// Upstreams of a service that take work.
+    #[must_use]
+    pub fn of_service(&self, service: &str) -> Arc<[Arc<Upstream>]> {
+        self.by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Number of known upstreams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn rebuild(&mut self) {
+        let mut by_service: HashMap<Arc<str>, Vec<Arc<Upstream>>> = HashMap::new();
+        for entry in self.entries.values() {
+            let report = &entry.upstream.report;
+            if report.state == UpstreamState::Draining {
+                continue;
+            }
+            by_service
+                .entry(Arc::clone(&report.service))
+                .or_default()
+                .push(Arc::clone(&entry.upstream));
+        }
+        self.by_service.clear();
+        for (service, mut upstreams) in by_service {
+            upstreams.sort_by(|a, b| a.report.id.cmp(&b.report.id));
+            self.by_service.insert(service, upstreams.into());
+        }
+    }
+}
+
+fn is_older(new: &UpstreamReport, known: &UpstreamReport) -> bool {
+    if new.born_ms != 0 && known.born_ms != 0 && new.born_ms != known.born_ms {
+        return new.born_ms < known.born_ms;
+    }
+    new.sequence < known.sequence
+}
+
+fn compare(known: &UpstreamReport, new: &UpstreamReport) -> Change {
+    if known.born_ms != new.born_ms || known.address != new.address {
+        return Change::Joined;
+    }
+    if known.state != new.state && new.state == UpstreamState::Draining {
+        return Change::Draining;
+    }
+    let is_same = known.service == new.service
+        && known.data_centre == new.data_centre
+        && known.slots == new.slots
+        && known.state == new.state
+        && known.cold_left_ms == new.cold_left_ms;
+    if is_same {
+        Change::None
+    } else {
+        Change::Updated
+    }
+}
--- /dev/null
+++ b/src/decision/selection.rs
@@ -0,0 +1,100 @@
+//! Which upstreams are asked for their load, and which one gets the request.
+
+use rand::{Rng, RngExt};
+
+/// Upstreams that are asked for each request.
+pub const PROBES: usize = 3;
+/// Weight of an upstream in the own data centre when candidates are drawn.
+const NEAR_WEIGHT: f64 = 2.0;
+/// Factor on the cost of an upstream in another data centre.
+const FAR_COST: f64 = 1.2;
+/// Factor on the cost of an upstream that calls itself unhealthy.
+const UNHEALTHY_COST: f64 = 8.0;
+/// Speed figure of an upstream that works at its usual pace.
+pub const USUAL_SPEED: f64 = 100.0;
+
+/// What an upstream told of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time that work takes, in percent of the usual time.
+    pub speed_percent: f64,
+}
+
+/// What a probe found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reading {
+    /// The load, if the upstream tells it.
+    pub load: Option<Load>,
+    /// Time for which the upstream is still cold.
+    pub cold_left_ms: u64,
+    /// Whether it calls itself healthy.
+    pub is_healthy: bool,
+}
+
+/// One upstream that may be drawn.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Whether it stands in the own data centre.
+    pub is_near: bool,
+    /// Share of its recent requests that failed.
+    pub failure_share: f64,
+}
+
+/// Draws up to `count` different candidates, near and sound ones rather.
+pub fn shortlist(candidates: &[Candidate], count: usize, random: &mut impl Rng) -> Vec<usize> {
+    let mut weights: Vec<f64> = candidates.iter().map(weight).collect();
+    let mut drawn = Vec::with_capacity(count);
+    while drawn.len() < count.min(candidates.len()) {
+        let total: f64 = weights.iter().sum();
+        let mut point = random.random::<f64>() * total;
+        let mut last = None;
+        for (index, weight) in weights.iter().enumerate() {
+            if *weight == 0.0 {
+                continue;
+            }
+            last = Some(index);
+            point -= weight;
+            if point <= 0.0 {
+                break;
+            }
+        }
+        let Some(index) = last else {
+            break;
+        };
+        weights[index] = 0.0;
+        drawn.push(index);
+    }
+    drawn
+}
+
+fn weight(candidate: &Candidate) -> f64 {
+    let near = if candidate.is_near { NEAR_WEIGHT } else { 1.0 };
+    near * (1.0 - candidate.failure_share).max(0.05)
+}
+
+/// Cost of sending to an upstream; the lowest one gets the request.
+#[must_use]
+pub fn cost(reading: &Reading, is_near: bool) -> f64 {
+    let mut cost = reading
+        .load
+        .map_or(1.0, |load| turns(&load) * load.speed_percent / USUAL_SPEED);
+    if !is_near {
+        cost *= FAR_COST;
+    }
+    if !reading.is_healthy {
+        cost *= UNHEALTHY_COST;
+    }
+    cost
+}
+
+/// Requests for each slot once another one is sent.
+#[must_use]
+pub fn turns(load: &Load) -> f64 {
+    f64::from(load.running + load.waiting + 1) / f64::from(load.slots.max(1))
+}
--- /dev/null
+++ b/src/gateway/meters.rs
@@ -0,0 +1,186 @@
+//! Counters and histograms, read as text at the metrics address.
+
+use std::fmt::Write as _;
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use super::outcome::Reason;
+
+/// Upper ends of the buckets of times, in seconds.
+const TIME_BUCKETS_S: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0,
+];
+
+/// A status class or the reason of an own answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct EndLabel(pub &'static str);
+
+impl EncodeLabelValue for EndLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        encoder.write_str(self.0)
+    }
+}
+
+/// Labels of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// How it ended.
+    pub end: EndLabel,
+}
+
+type ByEnd = Family<EndLabels, Counter>;
+
+/// All meters of the process.
+#[derive(Debug)]
+pub struct Meters {
+    registry: Registry,
+    requests: ByEnd,
+    sends: ByEnd,
+    /// Sends beyond the first one of a request.
+    pub repeats: Counter,
+    /// Questions for the load of an upstream.
+    pub probes: Counter,
+    /// Questions that gave no reading.
+    pub probes_failed: Counter,
+    /// Connections opened to upstreams.
+    pub connections_opened: Counter,
+    /// Times that an upstream was ejected.
+    pub ejections: Counter,
+    store_calls: ByEnd,
+    /// Version in force.
+    pub version: Gauge<u64, AtomicU64>,
+    /// Upstreams that are known.
+    pub upstreams: Gauge<u64, AtomicU64>,
+    /// Requests that are served now.
+    pub in_flight: Gauge<u64, AtomicU64>,
+    /// From a request to its final answer.
+    pub request_s: Histogram,
+    /// From a request to its first send.
+    pub held_s: Histogram,
+    /// From a send to the upstream's whole answer.
+    pub upstream_s: Histogram,
+}
+
+impl Meters {
+    /// All meters at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        let time = || Histogram::new(TIME_BUCKETS_S);
+        let mut meters = Self {
+            registry: Registry::with_prefix("chicorywing"),
+            requests: ByEnd::default(),
+            sends: ByEnd::default(),
+            repeats: Counter::default(),
+            probes: Counter::default(),
+            probes_failed: Counter::default(),
+            connections_opened: Counter::default(),
+            ejections: Counter::default(),
+            store_calls: ByEnd::default(),
+            version: Gauge::default(),
+            upstreams: Gauge::default(),
+            in_flight: Gauge::default(),
+            request_s: time(),
+            held_s: time(),
+            upstream_s: time(),
+        };
+        meters.register();
+        meters
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
+        registry.register(
+            "sends",
+            "Sends to upstreams by how they ended",
+            self.sends.clone(),
+        );
+        registry.register("repeats", "Sends beyond the first", self.repeats.clone());
+        registry.register("probes", "Questions for the load", self.probes.clone());
+        let failed = self.probes_failed.clone();
+        registry.register("probes_failed", "Questions without a reading", failed);
+        let opened = self.connections_opened.clone();
+        registry.register("connections_opened", "Connections to upstreams", opened);
+        registry.register("ejections", "Upstreams ejected", self.ejections.clone());
+        let calls = self.store_calls.clone();
+        registry.register("store_calls", "Calls to the store by how they ended", calls);
+        registry.register("version", "Version in force", self.version.clone());
+        registry.register("upstreams", "Known upstreams", self.upstreams.clone());
+        registry.register("in_flight", "Requests served now", self.in_flight.clone());
+        registry.register(
+            "request_seconds",
+            "Request to answer",
+            self.request_s.clone(),
+        );
+        registry.register("held_seconds", "Request to first send", self.held_s.clone());
+        registry.register(
+            "upstream_seconds",
+            "Send to answer",
+            self.upstream_s.clone(),
+        );
+    }
+
+    /// Counts a request by its status class or the reason of an own answer.
+    pub fn on_request(&self, end: &'static str) {
+        count(&self.requests, end);
+    }
+
+    /// Counts a send.
+    pub fn on_send(&self, end: &'static str) {
+        count(&self.sends, end);
+    }
+
+    /// Counts a call to the store.
+    pub fn on_store_call(&self, is_answered: bool) {
+        count(
+            &self.store_calls,
+            if is_answered { "answered" } else { "failed" },
+        );
+    }
+
+    /// All meters as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            tracing::warn!(%error, "the metrics could not be written");
+        }
+        text
+    }
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn count(family: &ByEnd, end: &'static str) {
+    let labels = EndLabels { end: EndLabel(end) };
+    family.get_or_create(&labels).inc();
+}
+
+/// Name under which a final answer is counted.
+#[must_use]
+pub fn end_of(status: http::StatusCode, reason: Option<Reason>) -> &'static str {
+    if let Some(reason) = reason {
+        return reason.into();
+    }
+    match status.as_u16() {
+        200..=299 => "2xx",
+        300..=399 => "3xx",
+        400..=499 => "4xx",
+        _ => "5xx",
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,195 @@
+//! The settings of the gateway, read once and checked as a whole.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use thiserror::Error;
+
+use crate::decision::repeats::RepeatBound;
+use crate::version::reader::{Fields, Placed, Problem, Reader};
+
+/// Largest memory limit that is believed, in megabytes.
+const MEMORY_MAX_MB: u64 = 1 << 20;
+
+/// Everything that the gateway is told, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Unique name of the instance.
+    pub name: Arc<str>,
+    /// Data centre that holds the instance.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform's balancer asks whether the instance is ready.
+    pub ready_address: SocketAddr,
+    /// Where metrics are read.
+    pub metrics_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where some other instances may be found at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store_address: SocketAddr,
+    /// Memory that the process may take, in megabytes.
+    pub memory_limit_mb: u64,
+    /// Time from a stop's signal to the forced end, in milliseconds.
+    pub stop_limit_ms: u64,
+    /// The fleet's bound on repeats.
+    pub repeats: RepeatBound,
+    /// Factor on a cold upstream's rate that the fleet must keep.
+    pub cold_factor: f64,
+    /// Requests in one second beyond that rate that the fleet must keep.
+    pub cold_slack: f64,
+    /// Which log lines are written, in the form of `tracing_subscriber`.
+    pub log_filter: Arc<str>,
+}
+
+/// Why there are no settings.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("the settings file {path} cannot be read: {error}; name an existing file")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// The file has faults.
+    #[error("the settings have faults: {}", join(.0))]
+    Faulty(Vec<Problem>),
+}
+
+fn join(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("; ")
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// Where it cannot be read or has faults; all of them are named.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            path: path.to_owned(),
+            error,
+        })?;
+        Self::parse(&text, &path.display().to_string()).map_err(SettingsError::Faulty)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Every fault of the text.
+    pub fn parse(text: &str, source: &str) -> Result<Self, Vec<Problem>> {
+        let mut reader = Reader::new(text, source);
+        let settings = reader.root().and_then(|mut fields| {
+            let settings = read(&mut reader, &mut fields);
+            fields.finish(&mut reader);
+            settings
+        });
+        let problems = reader.into_problems();
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(problems),
+        }
+    }
+}
+
+/// Reads every field before it gives up, so that all faults are named.
+fn read(reader: &mut Reader<'_>, fields: &mut Fields<'_>) -> Option<Settings> {
+    let name = fields.text(reader, "name");
+    let data_centre = fields.text(reader, "data_centre");
+    let caller_address = address(reader, fields, "caller_address");
+    let ready_address = address(reader, fields, "ready_address");
+    let metrics_address = address(reader, fields, "metrics_address");
+    let peer_address = address(reader, fields, "peer_address");
+    let store_address = address(reader, fields, "store_address");
+    let memory = fields.number_or(reader, "memory_limit_mb", 1, MEMORY_MAX_MB, MEMORY_MAX_MB);
+    let stop_limit_ms = duration_ms(reader, fields, "stop_limit");
+    let ratio = decimal(reader, fields, "repeat_ratio");
+    let slack = decimal(reader, fields, "repeat_slack");
+    let window_ms = duration_ms(reader, fields, "repeat_window");
+    let cold_factor = decimal(reader, fields, "cold_factor");
+    let cold_slack = decimal(reader, fields, "cold_slack");
+    let log_filter = fields.optional_text(reader, "log_filter");
+    let mut seeds = Vec::new();
+    for seed in fields.texts(reader, "seeds") {
+        seeds.extend(parse_address(reader, "seeds", &seed));
+    }
+    Some(Settings {
+        name: name?.value,
+        data_centre: data_centre?.value,
+        caller_address: caller_address?,
+        ready_address: ready_address?,
+        metrics_address: metrics_address?,
+        peer_address: peer_address?,
+        seeds,
+        store_address: store_address?,
+        memory_limit_mb: memory.value,
+        stop_limit_ms: stop_limit_ms?,
+        repeats: RepeatBound {
+            ratio: ratio?,
+            slack: slack?,
+            window_ms: window_ms?,
+        },
+        cold_factor: cold_factor?,
+        cold_slack: cold_slack?,
+        log_filter: log_filter.map_or_else(|| "info".into(), |filter| filter.value),
+    })
+}
+
+fn address(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<SocketAddr> {
+    let text = fields.text(reader, name)?;
+    parse_address(reader, name, &text)
+}
+
+fn parse_address(
+    reader: &mut Reader<'_>,
+    name: &str,
+    text: &Placed<Arc<str>>,
+) -> Option<SocketAddr> {
+    let remedy = "write an IP address and a port, such as 127.0.0.1:8001";
+    parsed(reader, name, text, text.value.parse().ok(), remedy)
+}
+
+fn duration_ms(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<u64> {
+    let text = fields.text(reader, name)?;
+    let remedy = "write a number with its unit, such as 1500ms or 2.5s";
+    parsed(reader, name, &text, parse_duration_ms(&text.value), remedy)
+}
+
+fn decimal(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<f64> {
+    let text = fields.text(reader, name)?;
+    let value = text.value.parse().ok().filter(|value: &f64| *value >= 0.0);
+    let remedy = "write a number of 0 or more in quotes, such as \"0.2\"";
+    parsed(reader, name, &text, value, remedy)
+}
+
+fn parsed<T>(
+    reader: &mut Reader<'_>,
+    name: &str,
+    text: &Placed<Arc<str>>,
+    value: Option<T>,
+    remedy: &str,
+) -> Option<T> {
+    if value.is_none() {
+        let message = format!("\"{name}\" is \"{}\"; {remedy}", text.value);
+        reader.report(text.offset, message);
+    }
+    value
+}
+
+/// Reads a time such as `1500ms` or `2.5s` into milliseconds.
+#[must_use]
+pub fn parse_duration_ms(text: &str) -> Option<u64> {
+    let (number, unit_ms) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1.0),
+        None => (text.strip_suffix('s')?, 1_000.0),
+    };
+    let number: f64 = number.trim().parse().ok()?;
+    let time = std::time::Duration::try_from_secs_f64(number * unit_ms / 1_000.0).ok()?;
+    u64::try_from(time.as_millis()).ok()
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,284 @@
+//! What all requests of the process share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+
+use super::calls::to_ms;
+use super::lines::LineBudget;
+use super::links::Links;
+use super::meters::Meters;
+use super::settings::Settings;
+use super::store::Platform;
+use super::view::{Event, View};
+use crate::decision::cold_share::{ColdBound, ColdShare};
+use crate::decision::directory::Upstream;
+use crate::decision::manifest::{Manifest, Route};
+use crate::decision::repeats::Repeats;
+use crate::decision::split::Splits;
+
+/// Part of the latency objective that work is taken to need before any answer
+/// has shown it.
+const FIRST_WORK_PART: f64 = 0.35;
+/// Weight of the newest answer in the mean time of work.
+const WORK_WEIGHT: f64 = 0.1;
+
+/// State of the process.
+#[derive(Debug)]
+pub struct Gateway<P> {
+    /// The platform.
+    pub platform: P,
+    settings: ArcSwap<Settings>,
+    /// Meters.
+    pub meters: Meters,
+    /// Bound on lines about requests.
+    pub lines: LineBudget,
+    /// Connections to upstreams.
+    pub links: Links,
+    /// Told when a call to the store has failed, so that all followers check
+    /// their connections.
+    pub store_doubt: Notify,
+    started: Instant,
+    phase: f64,
+    view: Mutex<View>,
+    splits: Mutex<Splits>,
+    repeats: Mutex<Repeats>,
+    cold_share: Mutex<ColdShare>,
+    work_ms: Mutex<HashMap<Arc<str>, f64>>,
+    stopping: watch::Sender<bool>,
+    is_loaded: AtomicBool,
+    are_instances_read: AtomicBool,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(platform: P, settings: Settings) -> Arc<Self> {
+        Arc::new(Self {
+            platform,
+            settings: ArcSwap::from_pointee(settings),
+            meters: Meters::new(),
+            lines: LineBudget::new(),
+            links: Links::default(),
+            store_doubt: Notify::new(),
+            started: Instant::now(),
+            phase: rand::random(),
+            view: Mutex::default(),
+            splits: Mutex::default(),
+            repeats: Mutex::default(),
+            cold_share: Mutex::default(),
+            work_ms: Mutex::default(),
+            stopping: watch::Sender::new(false),
+            is_loaded: AtomicBool::new(false),
+            are_instances_read: AtomicBool::new(false),
+        })
+    }
+
+    /// The settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.load_full()
+    }
+
+    /// Puts new settings in force; addresses and names stay until a restart.
+    pub fn replace_settings(&self, new: Settings) {
+        let known = self.settings();
+        if *known == new {
+            return;
+        }
+        let kept = Settings {
+            name: Arc::clone(&known.name),
+            data_centre: Arc::clone(&known.data_centre),
+            caller_address: known.caller_address,
+            ready_address: known.ready_address,
+            metrics_address: known.metrics_address,
+            peer_address: known.peer_address,
+            store_address: known.store_address,
+            log_filter: Arc::clone(&known.log_filter),
+            ..new.clone()
+        };
+        if kept != new {
+            tracing::warn!("new names, addresses or log filters are used from the next start on");
+        }
+        if kept != *known {
+            tracing::info!("new settings are in force");
+            self.settings.store(Arc::new(kept));
+        }
+    }
+
+    /// Whether the other instances have been read once.
+    #[must_use]
+    pub fn are_instances_read(&self) -> bool {
+        self.are_instances_read.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the other instances have been read once.
+    pub fn set_instances_read(&self) {
+        self.are_instances_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Time since the start, in milliseconds.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        to_ms(self.started.elapsed())
+    }
+
+    /// What the store's streams say.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        lock(&self.view)
+    }
+
+    /// The version in force.
+    #[must_use]
+    pub fn manifest(&self) -> Option<Arc<Manifest>> {
+        self.view().manifest.clone()
+    }
+
+    /// Notes that the upstreams have been read once.
+    pub fn set_loaded(&self) {
+        self.is_loaded.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_loaded.load(Ordering::Relaxed)
+            && !self.is_stopping()
+            && self.view().manifest.is_some()
+    }
+
+    /// Begins the planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
+    /// Whether the planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// The service that the next request of a route goes to.
+    #[must_use]
+    pub fn split(&self, route: &Route) -> Option<Arc<str>> {
+        lock(&self.splits).next(route, self.phase)
+    }
+
+    /// Counts a request for a service.
+    pub fn on_request(&self, service: &Arc<str>) {
+        let bound = self.settings().repeats;
+        lock(&self.repeats).on_request(service, bound, self.now_ms());
+    }
+
+    /// Takes a repeat out of this instance's share.
+    #[must_use]
+    pub fn take_repeat(&self, service: &Arc<str>) -> bool {
+        let instances = self.view().instances.len();
+        let bound = self.settings().repeats;
+        lock(&self.repeats).take(service, bound, instances, self.now_ms())
+    }
+
+    /// Takes the right to send one request to a cold upstream.
+    #[must_use]
+    pub fn take_cold(&self, upstream: &Arc<str>, per_s: f64) -> bool {
+        let instances: Vec<Arc<str>> = self.view().instances.keys().cloned().collect();
+        let settings = self.settings();
+        let bound = ColdBound {
+            per_s,
+            factor: settings.cold_factor,
+            slack: settings.cold_slack,
+        };
+        let me = &settings.name;
+        lock(&self.cold_share).take(upstream, &instances, me, bound, self.now_ms())
+    }
+
+    /// Upstreams of a service that may get work.
+    #[must_use]
+    pub fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let view = self.view();
+        let mut upstreams = Vec::new();
+        for upstream in view.directory.of_service(service).iter() {
+            if !view.out.contains(&upstream.report.data_centre) {
+                upstreams.push(Arc::clone(upstream));
+            }
+        }
+        upstreams
+    }
+
+    /// Whether an upstream may still get work; asked just before sending.
+    #[must_use]
+    pub fn is_in(&self, upstream: &Upstream) -> bool {
+        let view = self.view();
+        let known = view.directory.get(&upstream.report.id);
+        let is_known = known.is_some_and(|known| {
+            known.report.state == upstream.report.state
+                && known.report.address == upstream.report.address
+        });
+        is_known && !view.out.contains(&upstream.report.data_centre)
+    }
+
+    /// Mean time that a request of a route takes on an idle upstream.
+    #[must_use]
+    pub fn work_ms(&self, route: &Route) -> f64 {
+        let known = lock(&self.work_ms).get(&route.name).copied();
+        let objective_ms = u32::try_from(route.objective_ms).unwrap_or(u32::MAX);
+        known.unwrap_or(FIRST_WORK_PART * f64::from(objective_ms))
+    }
+
+    /// Learns from an answer how long work takes.
+    pub fn on_work(&self, route: &Route, work_ms: f64) {
+        let mean_ms = self.work_ms(route);
+        let learnt_ms = mean_ms + WORK_WEIGHT * (work_ms - mean_ms);
+        lock(&self.work_ms).insert(Arc::clone(&route.name), learnt_ms);
+    }
+
+    /// Logs what changed in the view, and follows it.
+    pub fn on_events(&self, events: &[Event], source: &str, offset: u64) {
+        for event in events {
+            log_event(event, source, offset);
+        }
+        if events.is_empty() {
+            return;
+        }
+        let (version, upstreams) = {
+            let view = self.view();
+            let version = view.manifest.as_ref().map_or(0, |known| known.version);
+            (version, view.directory.len())
+        };
+        self.meters.version.set(version);
+        self.meters
+            .upstreams
+            .set(u64::try_from(upstreams).unwrap_or(u64::MAX));
+    }
+}
+
+fn log_event(event: &Event, source: &str, offset: u64) {
+    match event {
+        Event::Version(version) => {
+            tracing::info!(version, source, offset, "a new version is in force");
+        }
+        Event::DataCentre(name, true) => {
+            tracing::info!(data_centre = %name, source, offset, "data centre taken out");
+        }
+        Event::DataCentre(name, false) => {
+            tracing::info!(data_centre = %name, source, offset, "data centre brought back");
+        }
+        Event::Upstream(id, change) => {
+            tracing::info!(upstream = %id, %change, source, offset, "upstream changed");
+        }
+        Event::Instance(name) => {
+            tracing::info!(instance = %name, source, offset, "instance changed");
+        }
+        Event::Unusable(stream, key, error) => {
+            tracing::warn!(%stream, key = %key, %error, source, offset, "record skipped");
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/platform/records.rs
@@ -0,0 +1,199 @@
+//! The platform's records, decoded once.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::decision::directory::{UpstreamReport, UpstreamState};
+use crate::decision::manifest::{CallerLimits, Manifest, Route, ServiceSpec, Target};
+use crate::gateway::settings::parse_duration_ms;
+use crate::gateway::store::{Order, RecordError};
+
+/// Key of the newest manifest.
+const MANIFEST_KEY: &str = "config";
+/// Prefix of the keys that take a zone out.
+const TAKE_OUT_KEY: &str = "evacuate/";
+/// Attempts of a route that names none.
+const ATTEMPTS_DEFAULT: u32 = 1;
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ManifestRecord {
+    version: u64,
+    routes: HashMap<Arc<str>, RouteRecord>,
+    services: HashMap<Arc<str>, ServiceRecord>,
+    limits: LimitsRecord,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RouteRecord {
+    host: String,
+    path_prefix: Arc<str>,
+    /// `safe` work may run more than once, `unsafe` work may not.
+    kind: Arc<str>,
+    timeout: String,
+    /// Time in which an answer earns its full payoff.
+    target_latency: String,
+    #[serde(default)]
+    priority: u8,
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    split: Vec<SplitRecord>,
+    attempts: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitRecord {
+    service: Arc<str>,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ServiceRecord {
+    health_path: Arc<str>,
+    /// Requests a second that a cold server bears.
+    #[serde(default)]
+    warmup_per_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct LimitsRecord {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout: String,
+    idle_timeout: String,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct ServerRecord {
+    service: Arc<str>,
+    addr: String,
+    zone: Arc<str>,
+    slots: u32,
+    state: Arc<str>,
+    /// Time for which the server is still cold.
+    warmup_left: Option<String>,
+    seq: u64,
+    /// Start of the server's process, in Unix milliseconds.
+    #[serde(default)]
+    born: u64,
+}
+
+/// The zone that a key takes out.
+pub fn taken_out(key: &str) -> Option<Arc<str>> {
+    key.strip_prefix(TAKE_OUT_KEY).map(Arc::from)
+}
+
+/// Decodes a record that the operator wrote.
+pub fn order(key: &str, value: &[u8]) -> Result<Option<Order>, RecordError> {
+    if let Some(zone) = taken_out(key) {
+        return Ok(Some(Order::TakeOut(zone)));
+    }
+    if key != MANIFEST_KEY {
+        return Ok(None);
+    }
+    let record: ManifestRecord = decode(value)?;
+    let mut services = HashMap::with_capacity(record.services.len());
+    for (name, service) in record.services {
+        let spec = ServiceSpec {
+            health_path: service.health_path,
+            cold_per_s: service.warmup_per_s,
+        };
+        services.insert(name, spec);
+    }
+    let mut routes = Vec::with_capacity(record.routes.len());
+    for (name, route) in record.routes {
+        routes.push(decode_route(name, route)?);
+    }
+    let limits = CallerLimits {
+        head_bytes: record.limits.max_header_bytes,
+        body_bytes: record.limits.max_body_bytes,
+        head_ms: time_ms(&record.limits.header_timeout)?,
+        idle_ms: time_ms(&record.limits.idle_timeout)?,
+    };
+    let manifest = Manifest::new(record.version, routes, services, limits);
+    Ok(Some(Order::Manifest(Box::new(manifest))))
+}
+
+fn decode_route(name: Arc<str>, record: RouteRecord) -> Result<Route, RecordError> {
+    let mut targets = Vec::new();
+    if let Some(service) = record.service {
+        targets.push(Target {
+            service,
+            weight: 1.0,
+        });
+    }
+    for part in record.split {
+        let is_proper = part.weight.is_finite() && part.weight >= 0.0;
+        if !is_proper {
+            return Err(RecordError(format!(
+                "the route {name} has an improper weight"
+            )));
+        }
+        targets.push(Target {
+            service: part.service,
+            weight: part.weight,
+        });
+    }
+    if targets.is_empty() {
+        return Err(RecordError(format!("the route {name} has no service")));
+    }
+    let is_idempotent = match &*record.kind {
+        "safe" => true,
+        "unsafe" => false,
+        other => return Err(RecordError(format!("the route {name} is of kind {other}"))),
+    };
+    Ok(Route {
+        name,
+        host: record.host.to_ascii_lowercase().into(),
+        prefix: record.path_prefix,
+        targets,
+        is_idempotent,
+        timeout_ms: time_ms(&record.timeout)?,
+        objective_ms: time_ms(&record.target_latency)?,
+        priority: record.priority,
+        attempts: record.attempts.unwrap_or(ATTEMPTS_DEFAULT),
+    })
+}
+
+/// Decodes what a server registered.
+pub fn report(key: &str, value: &[u8]) -> Result<UpstreamReport, RecordError> {
+    let record: ServerRecord = decode(value)?;
+    let state = match &*record.state {
+        "ready" => UpstreamState::Ready,
+        "draining" => UpstreamState::Draining,
+        other => return Err(RecordError(format!("its state is {other}"))),
+    };
+    let address = record
+        .addr
+        .parse()
+        .map_err(|_| RecordError(format!("its address is {}", record.addr)))?;
+    let cold_left_ms = match record.warmup_left {
+        Some(text) => time_ms(&text)?,
+        None => 0,
+    };
+    Ok(UpstreamReport {
+        id: key.into(),
+        born_ms: record.born,
+        sequence: record.seq,
+        service: record.service,
+        address,
+        data_centre: record.zone,
+        slots: record.slots,
+        state,
+        cold_left_ms,
+    })
+}
+
+fn decode<'v, T: Deserialize<'v>>(value: &'v [u8]) -> Result<T, RecordError> {
+    serde_json::from_slice(value).map_err(|error| RecordError(error.to_string()))
+}
+
+fn time_ms(text: &str) -> Result<u64, RecordError> {
+    parse_duration_ms(text).ok_or_else(|| RecordError(format!("{text} is no time")))
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,304 @@
+//! The client of the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, Bytes};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::records;
+use crate::connection::exchange::{Answer, Connection, Outgoing};
+use crate::decision::directory::UpstreamReport;
+use crate::gateway::store::{
+    HeaderNames, KeyedRecord, Order, Platform, RecordError, Records, StoreError, Stream,
+};
+
+/// Time in which a connection to the store must stand.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Time in which the store must answer, beyond a wait that was asked for; an
+/// answer usually takes 4 ms, and 60 times that while the store is slow.
+const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+/// Bytes that a read begins with: the end and the first offset that is kept.
+const READ_HEAD_BYTES: usize = 16;
+/// Bytes of the length of a record.
+const LENGTH_BYTES: usize = 4;
+
+/// One page of the newest records.
+#[derive(Debug, Deserialize)]
+struct NewestPage {
+    items: Vec<NewestItem>,
+    more: bool,
+    end: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct NewestItem {
+    key: Arc<str>,
+    value: String,
+    offset: u64,
+}
+
+/// The platform's store, with one kept connection for each stream.
+#[derive(Debug)]
+pub struct PlatformStore {
+    address: SocketAddr,
+    names: HeaderNames,
+    connections: [Mutex<Option<Connection>>; 3],
+}
+
+impl PlatformStore {
+    /// A client of the store at `address`.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            names: HeaderNames {
+                request_id: HeaderName::from_static("x-request-id"),
+                deadline_ms: HeaderName::from_static("x-deadline-ms"),
+                expected_upstream: HeaderName::from_static("x-expect-instance"),
+                not_run: HeaderName::from_static("x-not-executed"),
+                load: HeaderName::from_static("x-server-load"),
+                upstream: HeaderName::from_static("x-instance-id"),
+                cold_left_ms: HeaderName::from_static("x-warmup-ms"),
+                stamp: HeaderName::from_static("x-server-stamp"),
+            },
+            connections: Default::default(),
+        }
+    }
+
+    /// Makes one call; a connection that fails is not used again.
+    async fn call(
+        &self,
+        stream: Stream,
+        method: Method,
+        target: String,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer, StoreError> {
+        let slot = &self.connections[place(stream)];
+        let kept = lock(slot).take().filter(Connection::is_usable);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => Connection::open(self.address, CONNECT_LIMIT)
+                .await
+                .map_err(|error| StoreError::Unreachable(error.to_string()))?,
+        };
+        let request = self.request(method, target, body);
+        let answer = timeout(limit, connection.exchange(&request, None))
+            .await
+            .map_err(|_| StoreError::Unreachable("no answer in time".to_owned()))?
+            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        *lock(slot) = Some(connection);
+        match answer.status {
+            status if status.is_success() => Ok(answer),
+            StatusCode::GONE => Err(StoreError::Compacted),
+            status => Err(StoreError::Refused(status.as_u16())),
+        }
+    }
+
+    fn request(&self, method: Method, target: String, body: Bytes) -> Outgoing {
+        let mut headers = HeaderMap::with_capacity(2);
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        if !body.is_empty() {
+            let raw = HeaderValue::from_static("application/octet-stream");
+            headers.insert(CONTENT_TYPE, raw);
+        }
+        Outgoing {
+            method,
+            target,
+            headers,
+            body,
+        }
+    }
+}
+
+impl Platform for PlatformStore {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/api/readyz"
+    }
+
+    async fn newest(&self, stream: Stream) -> Result<Records, StoreError> {
+        let topic = topic(stream);
+        let mut found = Records::default();
+        let mut after: Option<Arc<str>> = None;
+        loop {
+            let mut target = format!("/api/log-newest?topic={topic}&part=0");
+            if let Some(key) = &after {
+                target.push_str("&after=");
+                target.push_str(&percent_encoded(key));
+            }
+            let answer = self
+                .call(stream, Method::GET, target, Bytes::new(), ANSWER_LIMIT)
+                .await?;
+            let page: NewestPage = serde_json::from_slice(&answer.body)
+                .map_err(|error| StoreError::Broken(error.to_string()))?;
+            // Pages are no snapshot: what comes after the first page's end is
+            // read once more.
+            if after.is_none() {
+                found.next = page.end;
+            }
+            after = page.items.last().map(|item| Arc::clone(&item.key));
+            for item in page.items {
+                found.records.push(decode_item(item)?);
+            }
+            if !page.more || after.is_none() {
+                found.records.sort_by_key(|record| record.offset);
+                return Ok(found);
+            }
+        }
+    }
+
+    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Records, StoreError> {
+        let target = format!(
+            "/api/log-read?topic={}&part=0&from={from}&wait-ms={}",
+            topic(stream),
+            wait.as_millis()
+        );
+        let limit = wait + ANSWER_LIMIT;
+        let answer = self
+            .call(stream, Method::GET, target, Bytes::new(), limit)
+            .await?;
+        decode_read(answer.body, from)
+    }
+
+    async fn put(&self, key: &str, value: Option<&[u8]>) -> Result<(), StoreError> {
+        let topic = topic(Stream::Instances);
+        let target = format!("/api/log-append?topic={topic}&part=0");
+        let body = encode_record(key, value.unwrap_or_default());
+        // A connection of its own: that of the stream may be waiting.
+        let mut connection = Connection::open(self.address, CONNECT_LIMIT)
+            .await
+            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        let request = self.request(Method::POST, target, body);
+        let answer = timeout(ANSWER_LIMIT, connection.exchange(&request, None))
+            .await
+            .map_err(|_| StoreError::Unreachable("no answer in time".to_owned()))?
+            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
+        if answer.status.is_success() {
+            Ok(())
+        } else {
+            Err(StoreError::Refused(answer.status.as_u16()))
+        }
+    }
+
+    fn taken_out(&self, key: &str) -> Option<Arc<str>> {
+        records::taken_out(key)
+    }
+
+    fn order(&self, key: &str, value: &[u8]) -> Result<Option<Order>, RecordError> {
+        records::order(key, value)
+    }
+
+    fn report(&self, key: &str, value: &[u8]) -> Result<UpstreamReport, RecordError> {
+        records::report(key, value)
+    }
+}
+
+/// Name of a stream's topic.
+fn topic(stream: Stream) -> &'static str {
+    match stream {
+        Stream::Orders => "keyed.op",
+        Stream::Upstreams => "keyed.servers",
+        Stream::Instances => "keyed.instances",
+    }
+}
+
+fn place(stream: Stream) -> usize {
+    match stream {
+        Stream::Orders => 0,
+        Stream::Upstreams => 1,
+        Stream::Instances => 2,
+    }
+}
+
+fn lock(slot: &Mutex<Option<Connection>>) -> std::sync::MutexGuard<'_, Option<Connection>> {
+    slot.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn decode_item(item: NewestItem) -> Result<KeyedRecord, StoreError> {
+    let value = STANDARD
+        .decode(&item.value)
+        .map_err(|error| StoreError::Broken(error.to_string()))?;
+    Ok(KeyedRecord {
+        offset: item.offset,
+        key: item.key,
+        value: Some(value),
+    })
+}
+
+/// Decodes the answer to a read: two offsets, then records with their lengths.
+fn decode_read(mut body: Bytes, from: u64) -> Result<Records, StoreError> {
+    if body.len() < READ_HEAD_BYTES {
+        return Err(StoreError::Broken("it is too short".to_owned()));
+    }
+    let _end = body.get_u64();
+    let _first = body.get_u64();
+    let mut next = from;
+    let mut found = Vec::new();
+    while body.len() >= LENGTH_BYTES {
+        let length = usize::try_from(body.get_u32()).unwrap_or(usize::MAX);
+        if length > body.len() {
+            return Err(StoreError::Broken("a record is cut short".to_owned()));
+        }
+        let record = decode_record(next, &body.split_to(length));
+        found.extend(record);
+        next += 1;
+    }
+    Ok(Records {
+        records: found,
+        next,
+    })
+}
+
+/// Decodes a keyed record: the key's length, the key, the value. One that
+/// cannot be read names no key, so it changes nothing.
+fn decode_record(offset: u64, bytes: &[u8]) -> Option<KeyedRecord> {
+    let (length, rest) = bytes.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    let Ok(key) = std::str::from_utf8(key) else {
+        tracing::warn!(offset, "a record's key cannot be read");
+        return None;
+    };
+    Some(KeyedRecord {
+        offset,
+        key: key.into(),
+        value: (!value.is_empty()).then(|| value.to_vec()),
+    })
+}
+
+/// Encodes a keyed record with its length in front.
+fn encode_record(key: &str, value: &[u8]) -> Bytes {
+    let key_length = u8::try_from(key.len()).unwrap_or(u8::MAX);
+    let key = &key.as_bytes()[..usize::from(key_length)];
+    let length = u32::try_from(1 + key.len() + value.len()).unwrap_or(u32::MAX);
+    let mut bytes = Vec::with_capacity(LENGTH_BYTES + 1 + key.len() + value.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.push(key_length);
+    bytes.extend_from_slice(key);
+    bytes.extend_from_slice(value);
+    bytes.into()
+}
+
+fn percent_encoded(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            encoded.push(char::from(byte));
+        } else {
+            encoded.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    encoded
+}
