Re-read after the store's return, end a stop with no new connection, probe one first

Change: followers read without a wait while the store is in doubt; the listener closes before the last requests end; one probe first and two more unless the upstream is idle and at its usual pace, within a bound per instance.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -6,6 +6,7 @@
 pub mod condition;
 pub mod directory;
 pub mod manifest;
+pub mod probe_budget;
 pub mod repeats;
 pub mod selection;
 pub mod split;
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -10,6 +10,10 @@
 const FAR_COST: f64 = 1.2;
 /// Factor on the cost of an upstream that calls itself unhealthy.
 const UNHEALTHY_COST: f64 = 8.0;
+/// Requests for each slot up to which an upstream counts as idle.
+const GOOD_TURNS: f64 = 0.5;
+/// Speed figure up to which an upstream works at its usual pace.
+const GOOD_SPEED_PERCENT: f64 = 110.0;
 /// Speed figure of an upstream that works at its usual pace.
 pub const USUAL_SPEED: f64 = 100.0;
 
@@ -93,6 +97,20 @@
     cost
 }
 
+/// Whether an upstream will answer as soon as any could: it is idle enough and
+/// works at its usual pace.
+#[must_use]
+pub fn is_good_enough(reading: &Reading) -> bool {
+    let Some(load) = reading.load else {
+        return false;
+    };
+    reading.is_healthy
+        && reading.cold_left_ms == 0
+        && load.waiting == 0
+        && turns(&load) <= GOOD_TURNS
+        && load.speed_percent <= GOOD_SPEED_PERCENT
+}
+
 /// Requests for each slot once another one is sent.
 #[must_use]
 pub fn turns(load: &Load) -> f64 {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -40,7 +40,6 @@
 /// Whether the store answers, as one follower sees it.
 #[derive(Debug, Default)]
 struct Contact {
-    failures: u32,
     lost_at: Option<Instant>,
     returned_at: Option<Instant>,
 }
@@ -51,19 +50,19 @@
             .is_some_and(|returned_at| returned_at.elapsed() < RETURN_WINDOW)
     }
 
-    fn on_answer(&mut self, stream: Stream) {
-        self.failures = 0;
+    /// Notes an answer; true for the first one after failures.
+    fn on_answer(&mut self, stream: Stream) -> bool {
         let Some(lost_at) = self.lost_at.take() else {
-            return;
+            return false;
         };
         self.returned_at = Some(Instant::now());
         let away_ms = super::calls::to_ms(lost_at.elapsed());
         tracing::info!(%stream, away_ms, "the store answers again");
+        true
     }
 
     /// Notes a failure; true for the first one.
     fn on_failure(&mut self, stream: Stream, error: &StoreError) -> bool {
-        self.failures += 1;
         if self.lost_at.is_some() {
             return false;
         }
@@ -77,15 +76,27 @@
 pub async fn follow<P: Platform>(gateway: Arc<Gateway<P>>, stream: Stream) {
     let mut contact = Contact::default();
     let mut is_loaded = false;
+    let mut is_in_doubt = false;
     loop {
+        let wait = if is_in_doubt {
+            Duration::ZERO
+        } else {
+            stream.wait()
+        };
         let read = tokio::select! {
-            read = step(&gateway, stream, is_loaded) => read,
-            () = gateway.store_doubt.notified() => continue,
+            read = step(&gateway, stream, is_loaded, wait) => read,
+            () = gateway.store_doubt.notified(), if !is_in_doubt => {
+                is_in_doubt = true;
+                continue;
+            }
         };
         gateway.meters.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
-                contact.on_answer(stream);
+                is_in_doubt = false;
+                if contact.on_answer(stream) {
+                    gateway.store_doubt.notify_waiters();
+                }
                 let is_news = !records.records.is_empty();
                 take_in(&gateway, stream, records, is_loaded, contact.is_returning());
                 is_loaded = true;
@@ -98,6 +109,8 @@
                 is_loaded = false;
             }
             Err(error) => {
+                // A long read might outlast the store's return.
+                is_in_doubt = true;
                 if contact.on_failure(stream, &error) {
                     gateway.store_doubt.notify_waiters();
                 }
@@ -113,12 +126,13 @@
     gateway: &Gateway<P>,
     stream: Stream,
     is_loaded: bool,
+    wait: Duration,
 ) -> Result<Records, StoreError> {
     if !is_loaded {
         return gateway.platform.newest(stream).await;
     }
     let from = gateway.view().next(stream);
-    gateway.platform.read(stream, from, stream.wait()).await
+    gateway.platform.read(stream, from, wait).await
 }
 
 fn take_in<P: Platform>(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,7 +21,9 @@
 use crate::decision::admission::{Admission, SEARCH_PAUSE_MS, Search};
 use crate::decision::condition::Evidence;
 use crate::decision::directory::Upstream;
-use crate::decision::selection::{Candidate, PROBES, Reading, USUAL_SPEED, cost, shortlist, turns};
+use crate::decision::selection::{
+    Candidate, PROBES, Reading, USUAL_SPEED, cost, is_good_enough, shortlist, turns,
+};
 
 /// Time for which further readings are awaited after the first one.
 const MORE_READINGS: Duration = Duration::from_millis(10);
@@ -260,20 +262,37 @@
     let Some(health_path) = health_path else {
         return (Vec::new(), 0);
     };
-    let (sender, receiver) = mpsc::channel(PROBES);
-    for index in drawn {
-        let (upstream, link) = usable[index].clone();
-        let task = probe_one(
-            Arc::clone(gateway),
-            upstream,
-            link,
-            Arc::clone(&health_path),
-            sender.clone(),
-        );
-        tokio::spawn(task);
+    let mut found = Vec::with_capacity(PROBES);
+    let mut rest = &drawn[..];
+    // Mostly the first one is idle, and the others need not be asked.
+    for wanted in [1, PROBES - 1] {
+        let wanted = wanted.min(rest.len());
+        if wanted == 0
+            || found
+                .iter()
+                .any(|probed: &Probed| is_good_enough(&probed.reading))
+        {
+            break;
+        }
+        let count = gateway.take_probes(service, candidates.len(), wanted);
+        let (now, later) = rest.split_at(count);
+        rest = later;
+        let (sender, receiver) = mpsc::channel(PROBES);
+        for index in now {
+            let (upstream, link) = usable[*index].clone();
+            let task = probe_one(
+                Arc::clone(gateway),
+                upstream,
+                link,
+                Arc::clone(&health_path),
+                sender.clone(),
+            );
+            tokio::spawn(task);
+        }
+        drop(sender);
+        found.extend(collect(receiver).await);
     }
-    drop(sender);
-    (collect(receiver).await, candidates.len())
+    (found, candidates.len())
 }
 
 /// Asks one upstream; its connection is kept also where the answer comes late.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -24,6 +24,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval between looks whether the last requests have ended.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without requests after which connections that never sent one are cut.
+const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Time for which the last answers may still be on their way out.
 const FLUSH_TIME: Duration = Duration::from_millis(60);
 /// Interval between looks for expired entries and connections.
@@ -163,8 +165,12 @@
     sleep(LISTEN_ON.min(limit / 2)).await;
     close.send_replace(true);
     let finish = async {
-        while callers.in_flight() > 0 {
+        let mut quiet_since = Instant::now();
+        while callers.connections() > 0 && quiet_since.elapsed() < QUIET_TIME {
             sleep(STOP_INTERVAL).await;
+            if callers.in_flight() > 0 {
+                quiet_since = Instant::now();
+            }
         }
         sleep(FLUSH_TIME).await;
     };
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -48,6 +48,7 @@
 #[derive(Debug, Default)]
 pub struct Callers {
     requests: AtomicUsize,
+    connections: AtomicUsize,
 }
 
 impl Callers {
@@ -56,6 +57,28 @@
     pub fn in_flight(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
+
+    /// Connections that are open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a connection while it is open.
+struct Open(Arc<Callers>);
+
+impl Open {
+    fn new(callers: Arc<Callers>) -> Self {
+        callers.connections.fetch_add(1, Ordering::Relaxed);
+        Self(callers)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Counts a request while it is served.
@@ -118,15 +141,20 @@
     }
 }
 
-/// Serves callers until `close` turns true; idle connections are closed then.
+/// Serves callers until `close` turns true; then no connection is taken any
+/// more, and idle ones are closed.
 pub async fn serve_callers<P: Platform>(
     listener: TcpListener,
     gateway: Arc<Gateway<P>>,
     callers: Arc<Callers>,
-    close: watch::Receiver<bool>,
+    mut close: watch::Receiver<bool>,
 ) {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let accepted = tokio::select! {
+            accepted = accept(&listener) => accepted,
+            _ = close.wait_for(|is_closed| *is_closed) => return,
+        };
+        let Some(stream) = accepted else {
             continue;
         };
         let connection = serve_caller(
@@ -162,6 +190,7 @@
     callers: Arc<Callers>,
     mut close: watch::Receiver<bool>,
 ) {
+    let _open = Open::new(Arc::clone(&callers));
     let activity = Activity::new();
     let head_bytes = gateway
         .manifest()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -41,6 +41,8 @@
     pub cold_factor: f64,
     /// Requests in one second beyond that rate that the fleet must keep.
     pub cold_slack: f64,
+    /// Probes that one upstream may get in a second from the whole fleet.
+    pub probes_per_s: f64,
     /// Which log lines are written, in the form of `tracing_subscriber`.
     pub log_filter: Arc<str>,
 }
@@ -114,6 +116,7 @@
     let window_ms = duration_ms(reader, fields, "repeat_window");
     let cold_factor = decimal(reader, fields, "cold_factor");
     let cold_slack = decimal(reader, fields, "cold_slack");
+    let probes_per_s = decimal(reader, fields, "probes_per_s");
     let log_filter = fields.optional_text(reader, "log_filter");
     let mut seeds = Vec::new();
     for seed in fields.texts(reader, "seeds") {
@@ -137,6 +140,7 @@
         },
         cold_factor: cold_factor?,
         cold_slack: cold_slack?,
+        probes_per_s: probes_per_s?,
         log_filter: log_filter.map_or_else(|| "info".into(), |filter| filter.value),
     })
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use crate::decision::cold_share::{ColdBound, ColdShare};
 use crate::decision::directory::Upstream;
 use crate::decision::manifest::{Manifest, Route};
+use crate::decision::probe_budget::{ProbeBound, ProbeBudget};
 use crate::decision::repeats::Repeats;
 use crate::decision::split::Splits;
 
@@ -48,6 +49,7 @@
     splits: Mutex<Splits>,
     repeats: Mutex<Repeats>,
     cold_share: Mutex<ColdShare>,
+    probe_budget: Mutex<ProbeBudget>,
     work_ms: Mutex<HashMap<Arc<str>, f64>>,
     stopping: watch::Sender<bool>,
     is_loaded: AtomicBool,
@@ -71,6 +73,7 @@
             splits: Mutex::default(),
             repeats: Mutex::default(),
             cold_share: Mutex::default(),
+            probe_budget: Mutex::default(),
             work_ms: Mutex::default(),
             stopping: watch::Sender::new(false),
             is_loaded: AtomicBool::new(false),
@@ -196,6 +199,17 @@
         lock(&self.cold_share).take(upstream, &instances, me, bound, self.now_ms())
     }
 
+    /// Takes up to `wanted` probes of a service with so many upstreams.
+    #[must_use]
+    pub fn take_probes(&self, service: &Arc<str>, upstreams: usize, wanted: usize) -> usize {
+        let bound = ProbeBound {
+            per_upstream_s: self.settings().probes_per_s,
+            upstreams,
+            instances: self.view().instances.len(),
+        };
+        lock(&self.probe_budget).take(service, bound, wanted, self.now_ms())
+    }
+
     /// Upstreams of a service that may get work.
     #[must_use]
     pub fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
