Read without a wait while the store is slow

Change: a read without a wait that takes over 40 ms keeps the store in doubt; reads stay short until it answers as usual.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// Time within which a read without a wait is answered while the store is well;
+/// ten times the usual 4 ms.
+const USUAL_ANSWER: Duration = Duration::from_millis(40);
+/// Pause between reads while the store is slow.
+const SLOW_PAUSE: Duration = Duration::from_millis(900);
+
 /// Whether the store answers, as one follower sees it.
 #[derive(Debug, Default)]
 struct Contact {
@@ -83,6 +89,7 @@
         } else {
             stream.wait()
         };
+        let began = Instant::now();
         let read = tokio::select! {
             read = step(&gateway, stream, is_loaded, wait) => read,
             () = gateway.store_doubt.notified(), if !is_in_doubt => {
@@ -93,14 +100,19 @@
         gateway.meters.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
-                is_in_doubt = false;
+                // A long read that a slow store takes in may miss a record that
+                // is written at that time.
+                let is_short = is_in_doubt || !is_loaded;
+                is_in_doubt = is_short && began.elapsed() > USUAL_ANSWER;
                 if contact.on_answer(stream) {
                     gateway.store_doubt.notify_waiters();
                 }
                 let is_news = !records.records.is_empty();
                 take_in(&gateway, stream, records, is_loaded, contact.is_returning());
                 is_loaded = true;
-                if is_news {
+                if is_in_doubt {
+                    sleep(SLOW_PAUSE).await;
+                } else if is_news {
                     sleep(stream.batch()).await;
                 }
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,9 @@
 /// Weight of the newest answer in the mean time of work.
 const WORK_WEIGHT: f64 = 0.1;
 
+/// Lines about the changes that one read brings; more are counted only.
+const EVENT_LINES_MAX: usize = 40;
+
 /// State of the process.
 #[derive(Debug)]
 pub struct Gateway<P> {
@@ -252,12 +255,16 @@
 
     /// Logs what changed in the view, and follows it.
     pub fn on_events(&self, events: &[Event], source: &str, offset: u64) {
-        for event in events {
-            log_event(event, source, offset);
-        }
         if events.is_empty() {
             return;
         }
+        for event in events.iter().take(EVENT_LINES_MAX) {
+            log_event(event, source, offset);
+        }
+        let left_out = events.len().saturating_sub(EVENT_LINES_MAX);
+        if left_out > 0 {
+            tracing::info!(left_out, source, offset, "further changes were taken in");
+        }
         let (version, upstreams) = {
             let view = self.view();
             let version = view.manifest.as_ref().map_or(0, |known| known.version);
