Check each long read of the orders by a short one

Ruled out: a wrong offset (the record came with the next read). Change: 300 ms after the start of a long read of the orders, a read without a wait; the first read of the upstreams after news waits 1.2 s at most.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -40,6 +40,11 @@
 /// Time within which a read without a wait is answered while the store is well;
 /// ten times the usual 4 ms.
 const USUAL_ANSWER: Duration = Duration::from_millis(40);
+/// Time after the start of a long read at which it is checked by a short one;
+/// an append takes a tenth of it.
+const CHECK_AFTER: Duration = Duration::from_millis(300);
+/// Longest wait of the first read after records have come.
+const AFTER_NEWS_WAIT: Duration = Duration::from_millis(1_200);
 /// Pause between reads while the store is slow.
 const SLOW_PAUSE: Duration = Duration::from_millis(900);
 
@@ -83,12 +88,16 @@
     let mut contact = Contact::default();
     let mut is_loaded = false;
     let mut is_in_doubt = false;
+    let mut is_after_news = false;
     loop {
-        let wait = if is_in_doubt {
-            Duration::ZERO
-        } else {
-            stream.wait()
+        let wait = match (is_in_doubt, is_after_news) {
+            (true, _) => Duration::ZERO,
+            (false, true) if stream == Stream::Upstreams => AFTER_NEWS_WAIT,
+            (false, _) => stream.wait(),
         };
+        if stream == Stream::Orders && is_loaded && !is_in_doubt {
+            gateway.long_read_began.notify_one();
+        }
         let began = Instant::now();
         let read = tokio::select! {
             read = step(&gateway, stream, is_loaded, wait) => read,
@@ -108,6 +117,7 @@
                     gateway.store_doubt.notify_waiters();
                 }
                 let is_news = !records.records.is_empty();
+                is_after_news = is_news;
                 take_in(&gateway, stream, records, is_loaded, contact.is_returning());
                 is_loaded = true;
                 if is_in_doubt {
@@ -134,6 +144,27 @@
     }
 }
 
+/// Checks each long read of the orders by a short one.
+///
+/// A long read that arrives while a record is being written may not be
+/// answered before the next record.
+pub async fn check<P: Platform>(gateway: Arc<Gateway<P>>) {
+    loop {
+        gateway.long_read_began.notified().await;
+        sleep(CHECK_AFTER).await;
+        match step(&gateway, Stream::Orders, true, Duration::ZERO).await {
+            Ok(records) => {
+                gateway.meters.on_store_call(true);
+                take_in(&gateway, Stream::Orders, records, true, false);
+            }
+            Err(error) => {
+                gateway.meters.on_store_call(false);
+                tracing::debug!(%error, "the check of a long read failed");
+            }
+        }
+    }
+}
+
 async fn step<P: Platform>(
     gateway: &Gateway<P>,
     stream: Stream,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -46,6 +46,8 @@
     /// Told when a call to the store has failed, so that all followers check
     /// their connections.
     pub store_doubt: Notify,
+    /// Told when a long read of the orders begins.
+    pub long_read_began: Notify,
     started: Instant,
     phase: f64,
     view: Mutex<View>,
@@ -70,6 +72,7 @@
             lines: LineBudget::new(),
             links: Links::default(),
             store_doubt: Notify::new(),
+            long_read_began: Notify::new(),
             started: Instant::now(),
             phase: rand::random(),
             view: Mutex::default(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! The client of the platform's store.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use base64::Engine;
@@ -49,7 +49,7 @@
 pub struct PlatformStore {
     address: SocketAddr,
     names: HeaderNames,
-    connections: [Mutex<Option<Connection>>; 3],
+    connections: Mutex<Vec<Connection>>,
 }
 
 impl PlatformStore {
@@ -68,33 +68,25 @@
                 cold_left_ms: HeaderName::from_static("x-warmup-ms"),
                 stamp: HeaderName::from_static("x-server-stamp"),
             },
-            connections: Default::default(),
+            connections: Mutex::default(),
         }
     }
 
     /// Makes one call; a connection that fails is not used again.
     async fn call(
         &self,
-        stream: Stream,
         method: Method,
         target: String,
         body: Bytes,
         limit: Duration,
     ) -> Result<Answer, StoreError> {
-        let slot = &self.connections[place(stream)];
-        let kept = lock(slot).take().filter(Connection::is_usable);
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => Connection::open(self.address, CONNECT_LIMIT)
-                .await
-                .map_err(|error| StoreError::Unreachable(error.to_string()))?,
-        };
+        let mut connection = self.connect().await?;
         let request = self.request(method, target, body);
         let answer = timeout(limit, connection.exchange(&request, None))
             .await
             .map_err(|_| StoreError::Unreachable("no answer in time".to_owned()))?
             .map_err(|error| StoreError::Unreachable(error.to_string()))?;
-        *lock(slot) = Some(connection);
+        self.kept().push(connection);
         match answer.status {
             status if status.is_success() => Ok(answer),
             StatusCode::GONE => Err(StoreError::Compacted),
@@ -102,6 +94,27 @@
         }
     }
 
+    /// A kept connection, or a new one.
+    async fn connect(&self) -> Result<Connection, StoreError> {
+        let kept = {
+            let mut kept = self.kept();
+            kept.retain(Connection::is_usable);
+            kept.pop()
+        };
+        match kept {
+            Some(connection) => Ok(connection),
+            None => Connection::open(self.address, CONNECT_LIMIT)
+                .await
+                .map_err(|error| StoreError::Unreachable(error.to_string())),
+        }
+    }
+
+    fn kept(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn request(&self, method: Method, target: String, body: Bytes) -> Outgoing {
         let mut headers = HeaderMap::with_capacity(2);
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
@@ -140,7 +153,7 @@
                 target.push_str(&percent_encoded(key));
             }
             let answer = self
-                .call(stream, Method::GET, target, Bytes::new(), ANSWER_LIMIT)
+                .call(Method::GET, target, Bytes::new(), ANSWER_LIMIT)
                 .await?;
             let page: NewestPage = serde_json::from_slice(&answer.body)
                 .map_err(|error| StoreError::Broken(error.to_string()))?;
@@ -167,9 +180,7 @@
             wait.as_millis()
         );
         let limit = wait + ANSWER_LIMIT;
-        let answer = self
-            .call(stream, Method::GET, target, Bytes::new(), limit)
-            .await?;
+        let answer = self.call(Method::GET, target, Bytes::new(), limit).await?;
         decode_read(answer.body, from)
     }
 
@@ -177,20 +188,8 @@
         let topic = topic(Stream::Instances);
         let target = format!("/api/log-append?topic={topic}&part=0");
         let body = encode_record(key, value.unwrap_or_default());
-        // A connection of its own: that of the stream may be waiting.
-        let mut connection = Connection::open(self.address, CONNECT_LIMIT)
-            .await
-            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
-        let request = self.request(Method::POST, target, body);
-        let answer = timeout(ANSWER_LIMIT, connection.exchange(&request, None))
-            .await
-            .map_err(|_| StoreError::Unreachable("no answer in time".to_owned()))?
-            .map_err(|error| StoreError::Unreachable(error.to_string()))?;
-        if answer.status.is_success() {
-            Ok(())
-        } else {
-            Err(StoreError::Refused(answer.status.as_u16()))
-        }
+        self.call(Method::POST, target, body, ANSWER_LIMIT).await?;
+        Ok(())
     }
 
     fn taken_out(&self, key: &str) -> Option<Arc<str>> {
@@ -215,18 +214,6 @@
     }
 }
 
-fn place(stream: Stream) -> usize {
-    match stream {
-        Stream::Orders => 0,
-        Stream::Upstreams => 1,
-        Stream::Instances => 2,
-    }
-}
-
-fn lock(slot: &Mutex<Option<Connection>>) -> std::sync::MutexGuard<'_, Option<Connection>> {
-    slot.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn decode_item(item: NewestItem) -> Result<KeyedRecord, StoreError> {
     let value = STANDARD
         .decode(&item.value)
