--- a/src/decision/cold_share.rs
+++ b/src/decision/cold_share.rs
@@ -40,6 +40,9 @@
         bound: ColdBound,
         now_ms: u64,
     ) -> bool {
+        if in_one_second(bound) < 1.0 {
+            return false;
+        }
         let senders = senders(bound);
         if rank(upstream, instances, me) >= senders {
             return false;
@@ -59,12 +62,17 @@
     }
 }
 
+/// Requests that the fleet may send within any second.
+fn in_one_second(bound: ColdBound) -> f64 {
+    bound.per_s * bound.factor + bound.slack
+}
+
 /// Number of instances that may send to an upstream with this bound.
 fn senders(bound: ColdBound) -> usize {
-    let in_one_second = bound.per_s * bound.factor + bound.slack;
+    let most = in_one_second(bound);
     let mut senders = SENDERS_MAX;
     // Twice the senders, each with one request, must fit into one second.
-    while senders > 1 && f64::from(u32::try_from(2 * senders).unwrap_or(u32::MAX)) > in_one_second {
+    while senders > 1 && f64::from(u32::try_from(2 * senders).unwrap_or(u32::MAX)) > most {
         senders -= 1;
     }
     senders
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,297 @@
+//! Exchanges over HTTP/1.1 with a server that misbehaves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicorywing::connection::exchange::{Answer, Connection, ExchangeError, Outgoing};
+use googletest::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const ID: HeaderName = HeaderName::from_static("x-id");
+const LIMIT: Duration = Duration::from_secs(5);
+
+/// What the server does after it has read some bytes.
+#[derive(Clone, Copy)]
+enum Then {
+    Write(&'static str),
+    Close,
+    Reset,
+}
+
+/// A server that follows a script on its first connection, each step after at
+/// least one byte has come, and tells what it read.
+async fn server(script: Vec<Then>) -> (SocketAddr, mpsc::UnboundedReceiver<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        for then in script {
+            let mut bytes = vec![0; 65_536];
+            let count = stream.read(&mut bytes).await.unwrap_or(0);
+            bytes.truncate(count);
+            let _ = sender.send(bytes);
+            match then {
+                Then::Write(text) => stream.write_all(text.as_bytes()).await.unwrap(),
+                Then::Close => return,
+                Then::Reset => {
+                    let option = socket2::SockRef::from(&stream);
+                    option.set_linger(Some(Duration::ZERO)).unwrap();
+                    return;
+                }
+            }
+        }
+        // Keeps the connection open until the test is over.
+        let mut rest = [0; 1_024];
+        while stream.read(&mut rest).await.unwrap_or(0) > 0 {}
+    });
+    (address, receiver)
+}
+
+fn request(id: &'static str, method: Method, body: &'static str) -> Outgoing {
+    let mut headers = HeaderMap::new();
+    headers.insert(ID, HeaderValue::from_static(id));
+    Outgoing {
+        method,
+        target: "/path?query".to_owned(),
+        headers,
+        body: Bytes::from_static(body.as_bytes()),
+    }
+}
+
+async fn get(
+    connection: &mut Connection,
+    id: &'static str,
+) -> std::result::Result<Answer, ExchangeError> {
+    let request = request(id, Method::GET, "");
+    connection.exchange(&request, Some(&ID)).await
+}
+
+async fn open(address: SocketAddr) -> Connection {
+    Connection::open(address, LIMIT).await.unwrap()
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_whole_answer_keeps_the_connection() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 3\r\n\r\nabc";
+    let (address, mut read) = server(vec![Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let answer = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(&answer.body[..], eq(b"abc"));
+    expect_that!(connection.is_usable(), eq(true));
+    let sent = String::from_utf8(read.recv().await.unwrap()).unwrap();
+    expect_that!(sent, eq("GET /path?query HTTP/1.1\r\nx-id: a\r\n\r\n"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_to_an_earlier_request_is_skipped() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: old\r\ncontent-length: 3\r\n\r\noldHTTP/1.1 200 OK\r\n\
+                x-id: b\r\ncontent-length: 3\r\n\r\nnew";
+    let (address, _read) = server(vec![Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let answer = get(&mut connection, "b").await.unwrap();
+
+    expect_that!(&answer.body[..], eq(b"new"));
+    expect_that!(connection.is_usable(), eq(false), "more may follow");
+}
+
+#[gtest]
+#[tokio::test]
+async fn bytes_after_an_answer_end_the_connection() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\n";
+    let (address, _read) = server(vec![Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let answer = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(&answer.body[..], eq(b"a"));
+    expect_that!(connection.is_usable(), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn chunks_are_joined() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n\
+                3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nt: u\r\n\r\n";
+    let (address, _read) = server(vec![Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let answer = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(&answer.body[..], eq(b"abcde"));
+    expect_that!(connection.is_usable(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_body_without_a_length_ends_with_the_connection() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\nabc";
+    let (address, _read) = server(vec![Then::Write(text), Then::Close]).await;
+    let mut connection = open(address).await;
+    let exchange = get(&mut connection, "a");
+    let early = tokio::time::timeout(Duration::from_millis(200), exchange).await;
+    expect_that!(early.is_err(), eq(true), "the body is not whole yet");
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 1_024];
+        let _ = stream.read(&mut bytes).await;
+        stream.write_all(text.as_bytes()).await.unwrap();
+    });
+    let mut connection = open(address).await;
+    let answer = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(&answer.body[..], eq(b"abc"));
+    expect_that!(connection.is_usable(), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cut_answer_is_no_answer() {
+    for text in [
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 30\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-le",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = [0; 1_024];
+            let _ = stream.read(&mut bytes).await;
+            stream.write_all(text.as_bytes()).await.unwrap();
+        });
+        let mut connection = open(address).await;
+
+        let ended = get(&mut connection, "a").await;
+
+        expect_that!(
+            matches!(ended, Err(ExchangeError::Cut(_))),
+            eq(true),
+            "{text}"
+        );
+        expect_that!(connection.is_usable(), eq(false));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_reset_before_the_answer_is_a_cut() {
+    let (address, _read) = server(vec![Then::Reset]).await;
+    let mut connection = open(address).await;
+
+    let ended = get(&mut connection, "a").await;
+
+    expect_that!(matches!(ended, Err(ExchangeError::Cut(_))), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn bytes_that_are_no_answer_are_refused() {
+    for text in [
+        "hello there\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: -3\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: a\r\ntransfer-encoding: chunked\r\n\r\n+3\r\nabc\r\n",
+    ] {
+        let (address, _read) = server(vec![Then::Write(text)]).await;
+        let mut connection = open(address).await;
+
+        let ended = get(&mut connection, "a").await;
+
+        expect_that!(
+            matches!(ended, Err(ExchangeError::Broken(_))),
+            eq(true),
+            "{text}"
+        );
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_interim_answer_is_passed_over() {
+    let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nx-id: a\r\n\r\n";
+    let (address, _read) = server(vec![Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let answer = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(answer.status.as_u16(), eq(204));
+    expect_that!(connection.is_usable(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_to_half_a_body_ends_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = [0; 512];
+        let _ = stream.read(&mut bytes).await;
+        let text = "HTTP/1.1 413 Too Long\r\nx-id: a\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(text.as_bytes()).await.unwrap();
+        // Reads no further, so that the rest of the body stays unwritten.
+        tokio::time::sleep(LIMIT).await;
+    });
+    let mut connection = open(address).await;
+    let mut request = request("a", Method::POST, "");
+    request.body = Bytes::from(vec![b'x'; 32 * 1024 * 1024]);
+
+    let answer = connection.exchange(&request, Some(&ID)).await.unwrap();
+
+    expect_that!(answer.status.as_u16(), eq(413));
+    expect_that!(connection.is_usable(), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_body_is_sent_with_its_length_and_an_empty_post_with_none() {
+    let text = "HTTP/1.1 200 OK\r\nx-id: a\r\ncontent-length: 0\r\n\r\n";
+    let (address, mut read) = server(vec![Then::Write(text), Then::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    for body in ["abc", ""] {
+        let request = request("a", Method::POST, body);
+        connection.exchange(&request, Some(&ID)).await.unwrap();
+    }
+
+    let mut sent = String::from_utf8(read.recv().await.unwrap()).unwrap();
+    if !sent.ends_with("abc") {
+        sent.push_str(&String::from_utf8(read.recv().await.unwrap()).unwrap());
+    }
+    expect_that!(sent, contains_substring("content-length: 3\r\n\r\nabc"));
+    let sent = String::from_utf8(read.recv().await.unwrap()).unwrap();
+    expect_that!(sent, contains_substring("content-length: 0\r\n\r\n"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_end_of_an_idle_connection_is_noticed_before_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connection = open(address).await;
+    let (stream, _) = listener.accept().await.unwrap();
+    expect_that!(connection.is_usable(), eq(true));
+
+    drop(stream);
+    let ended = tokio::time::timeout(LIMIT, async {
+        while connection.is_usable() {
+            tokio::task::yield_now().await;
+        }
+    });
+
+    expect_that!(ended.await.is_ok(), eq(true));
+}
--- /dev/null
+++ b/tests/gateway/fake.rs
@@ -0,0 +1,363 @@
+//! A platform whose store fails on demand, and gateways over it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use chicorywing::decision::directory::{UpstreamReport, UpstreamState};
+use chicorywing::decision::manifest::{CallerLimits, Manifest, Route, ServiceSpec, Target};
+use chicorywing::decision::repeats::RepeatBound;
+use chicorywing::gateway::settings::Settings;
+use chicorywing::gateway::state::Gateway;
+use chicorywing::gateway::store::{
+    HeaderNames, KeyedRecord, Order, Platform, RecordError, Records, StoreError, Stream,
+};
+use http::HeaderName;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Service of all upstreams in these tests.
+pub const SERVICE: &str = "s";
+/// Data centre of the gateway.
+pub const HOME: &str = "dc-a";
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers at once.
+    Well,
+    /// It answers nothing, ever, on connections of this time.
+    Silent,
+    /// It refuses every call.
+    Refusing,
+    /// It answers late; long reads that begin now miss what is written now.
+    Slow,
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    records: HashMap<Stream, Vec<KeyedRecord>>,
+    first: HashMap<Stream, u64>,
+    reads: usize,
+}
+
+/// The store, shared by the platforms of all gateways of a test.
+#[derive(Debug)]
+pub struct FakeStore {
+    log: Mutex<Log>,
+    mode: watch::Sender<Mode>,
+    written: watch::Sender<u64>,
+}
+
+impl FakeStore {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            log: Mutex::default(),
+            mode: watch::Sender::new(Mode::Well),
+            written: watch::Sender::new(0),
+        })
+    }
+
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Appends a record and wakes the reads that wait.
+    pub fn write(&self, stream: Stream, key: &str, value: Option<&str>) {
+        self.write_unseen(stream, key, value);
+        self.written.send_modify(|count| *count += 1);
+    }
+
+    /// Appends a record that reads which wait already are not woken by.
+    pub fn write_unseen(&self, stream: Stream, key: &str, value: Option<&str>) {
+        let mut log = self.log();
+        let records = log.records.entry(stream).or_default();
+        let offset = u64::try_from(records.len()).unwrap();
+        records.push(KeyedRecord {
+            offset,
+            key: key.into(),
+            value: value.map(|text| text.as_bytes().to_vec()),
+        });
+    }
+
+    /// Drops all records of a stream but the newest of each key.
+    pub fn compact(&self, stream: Stream) {
+        let mut log = self.log();
+        let end = u64::try_from(log.records.entry(stream).or_default().len()).unwrap();
+        log.first.insert(stream, end);
+    }
+
+    /// Calls so far.
+    pub fn reads(&self) -> usize {
+        self.log().reads
+    }
+
+    fn log(&self) -> MutexGuard<'_, Log> {
+        self.log.lock().unwrap()
+    }
+
+    fn records_from(&self, stream: Stream, from: u64) -> Records {
+        let log = self.log();
+        let all = log.records.get(&stream).cloned().unwrap_or_default();
+        let next = u64::try_from(all.len()).unwrap();
+        let records = all.into_iter().filter(|record| record.offset >= from);
+        Records {
+            records: records.collect(),
+            next: next.max(from),
+        }
+    }
+
+    fn newest(&self, stream: Stream) -> Records {
+        let all = self.records_from(stream, 0);
+        let mut newest: HashMap<Arc<str>, KeyedRecord> = HashMap::new();
+        for record in all.records {
+            newest.insert(Arc::clone(&record.key), record);
+        }
+        let mut records: Vec<KeyedRecord> = newest.into_values().collect();
+        records.retain(|record| record.value.is_some());
+        records.sort_by_key(|record| record.offset);
+        Records {
+            records,
+            next: all.next,
+        }
+    }
+
+    /// What every call meets first.
+    async fn enter(&self, limit: Duration) -> std::result::Result<(), StoreError> {
+        self.log().reads += 1;
+        let mode = *self.mode.borrow();
+        match mode {
+            Mode::Well => {
+                sleep(Duration::from_millis(4)).await;
+                Ok(())
+            }
+            Mode::Slow => {
+                sleep(Duration::from_millis(240)).await;
+                Ok(())
+            }
+            Mode::Refusing => Err(StoreError::Refused(503)),
+            Mode::Silent => {
+                sleep(limit).await;
+                Err(StoreError::Unreachable("no answer in time".to_owned()))
+            }
+        }
+    }
+}
+
+async fn turned_silent(mode: &mut watch::Receiver<Mode>) {
+    let _ = mode.wait_for(|mode| *mode == Mode::Silent).await;
+}
+
+/// The platform of one gateway.
+#[derive(Debug)]
+pub struct FakePlatform {
+    pub store: Arc<FakeStore>,
+    names: HeaderNames,
+}
+
+impl FakePlatform {
+    pub fn new(store: &Arc<FakeStore>) -> Self {
+        Self {
+            store: Arc::clone(store),
+            names: HeaderNames {
+                request_id: HeaderName::from_static("t-id"),
+                deadline_ms: HeaderName::from_static("t-deadline-ms"),
+                expected_upstream: HeaderName::from_static("t-expected"),
+                not_run: HeaderName::from_static("t-not-run"),
+                load: HeaderName::from_static("t-load"),
+                upstream: HeaderName::from_static("t-upstream"),
+                cold_left_ms: HeaderName::from_static("t-cold-ms"),
+                stamp: HeaderName::from_static("t-stamp"),
+            },
+        }
+    }
+}
+
+impl Platform for FakePlatform {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    async fn newest(&self, stream: Stream) -> std::result::Result<Records, StoreError> {
+        self.store.enter(Duration::from_millis(800)).await?;
+        Ok(self.store.newest(stream))
+    }
+
+    async fn read(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+    ) -> std::result::Result<Records, StoreError> {
+        let limit = wait + Duration::from_millis(800);
+        let began = Instant::now();
+        self.store.enter(limit).await?;
+        if self
+            .store
+            .log()
+            .first
+            .get(&stream)
+            .is_some_and(|first| from < *first)
+        {
+            return Err(StoreError::Compacted);
+        }
+        let found = self.store.records_from(stream, from);
+        if !found.records.is_empty() || wait.is_zero() {
+            return Ok(found);
+        }
+        let mut written = self.store.written.subscribe();
+        let mut mode = self.store.mode.subscribe();
+        loop {
+            tokio::select! {
+                woken = timeout_at(began + wait, written.changed()) => {
+                    let found = self.store.records_from(stream, from);
+                    let is_seen = woken.is_ok() && !found.records.is_empty();
+                    if is_seen {
+                        return Ok(found);
+                    }
+                    if woken.is_err() {
+                        return Ok(Records { records: Vec::new(), next: from });
+                    }
+                }
+                () = turned_silent(&mut mode) => {
+                    // The answer is lost, and the connection stays open.
+                    sleep(limit.saturating_sub(began.elapsed())).await;
+                    return Err(StoreError::Unreachable("no answer in time".to_owned()));
+                }
+            }
+        }
+    }
+
+    async fn put(&self, key: &str, value: Option<&[u8]>) -> std::result::Result<(), StoreError> {
+        self.store.enter(Duration::from_millis(800)).await?;
+        let text = value.map(|value| std::str::from_utf8(value).unwrap());
+        self.store.write(Stream::Instances, key, text);
+        Ok(())
+    }
+
+    fn taken_out(&self, key: &str) -> Option<Arc<str>> {
+        key.strip_prefix("out/").map(Arc::from)
+    }
+
+    /// A version is written as its number.
+    fn order(&self, key: &str, value: &[u8]) -> std::result::Result<Option<Order>, RecordError> {
+        if let Some(name) = self.taken_out(key) {
+            return Ok(Some(Order::TakeOut(name)));
+        }
+        let text = std::str::from_utf8(value).map_err(|error| RecordError(error.to_string()))?;
+        let version = text
+            .parse()
+            .map_err(|_| RecordError(format!("{text} is no version")))?;
+        Ok(Some(Order::Manifest(Box::new(manifest(
+            version,
+            &[route()],
+        )))))
+    }
+
+    /// A report is written as its state.
+    fn report(&self, key: &str, value: &[u8]) -> std::result::Result<UpstreamReport, RecordError> {
+        let state = match value {
+            b"ready" => UpstreamState::Ready,
+            b"draining" => UpstreamState::Draining,
+            _ => return Err(RecordError("its state is unknown".to_owned())),
+        };
+        Ok(report(key, SocketAddr::from(([127, 0, 0, 1], 9)), state))
+    }
+}
+
+/// A report of an upstream in the gateway's data centre.
+pub fn report(id: &str, address: SocketAddr, state: UpstreamState) -> UpstreamReport {
+    UpstreamReport {
+        id: id.into(),
+        born_ms: 1,
+        sequence: 1,
+        service: SERVICE.into(),
+        address,
+        data_centre: HOME.into(),
+        slots: 2,
+        state,
+        cold_left_ms: 0,
+    }
+}
+
+/// A route for everything, to one service, whose requests may be repeated.
+pub fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h.example".into(),
+        prefix: "/".into(),
+        targets: vec![Target {
+            service: SERVICE.into(),
+            weight: 1.0,
+        }],
+        is_idempotent: true,
+        timeout_ms: 2_000,
+        objective_ms: 500,
+        priority: 0,
+        attempts: 2,
+    }
+}
+
+pub fn manifest(version: u64, routes: &[Route]) -> Manifest {
+    let spec = ServiceSpec {
+        health_path: "/health".into(),
+        cold_per_s: 2.9,
+    };
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 65_536,
+        head_ms: 3_000,
+        idle_ms: 5_000,
+    };
+    let services = HashMap::from([(SERVICE.into(), spec)]);
+    Manifest::new(version, routes.to_vec(), services, limits)
+}
+
+pub fn settings(name: &str, peer_address: SocketAddr, seeds: &[SocketAddr]) -> Settings {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: name.into(),
+        data_centre: HOME.into(),
+        caller_address: nowhere,
+        ready_address: nowhere,
+        metrics_address: nowhere,
+        peer_address,
+        seeds: seeds.to_vec(),
+        store_address: nowhere,
+        memory_limit_mb: 260,
+        stop_limit_ms: 6_000,
+        repeats: RepeatBound {
+            ratio: 0.2,
+            slack: 56.0,
+            window_ms: 10_000,
+        },
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        probes_per_s: 60.0,
+        log_filter: "info".into(),
+    }
+}
+
+/// A gateway that follows `store` by tasks of the test's runtime.
+pub fn gateway(store: &Arc<FakeStore>) -> Arc<Gateway<FakePlatform>> {
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    Gateway::new(FakePlatform::new(store), settings("gate-1", peer, &[]))
+}
+
+/// Waits until something holds; fails after `limit`.
+pub async fn within(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let wait = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(
+        timeout(limit, wait).await.is_ok(),
+        "not within {limit:?}: {what}"
+    );
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,7 @@
+//! The gateway over a fake platform and upstreams that misbehave.
+
+mod calls;
+mod fake;
+mod following;
+mod stopping;
+mod upstream;
--- /dev/null
+++ b/tests/gateway/upstream.rs
@@ -0,0 +1,210 @@
+//! An upstream that follows orders, also wrong ones.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// What the upstream does with a request that is no probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Answers 200 after a time.
+    Serve(Duration),
+    /// Answers 500.
+    Fail,
+    /// Says that it did not run the request.
+    Shed,
+    /// Says that another upstream is expected.
+    Misdirect,
+    /// Reads the request, then resets the connection.
+    Reset,
+    /// Never answers.
+    Hang,
+    /// Promises a longer body than it sends.
+    Truncate,
+    /// Answers 200 without a stamp.
+    Unstamped,
+    /// Sends an answer to another request first.
+    Stray,
+}
+
+#[derive(Debug)]
+struct State {
+    act: Act,
+    load: String,
+    cold_ms: u64,
+    runs: Vec<String>,
+    probes: usize,
+    closed: usize,
+}
+
+/// A running upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    pub id: Arc<str>,
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Upstream {
+    pub async fn start(id: &str, act: Act) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Self {
+            id: id.into(),
+            address: listener.local_addr().unwrap(),
+            state: Arc::new(Mutex::new(State {
+                act,
+                load: "0,0,2,100".to_owned(),
+                cold_ms: 0,
+                runs: Vec::new(),
+                probes: 0,
+                closed: 0,
+            })),
+        };
+        let server = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move { server.serve(stream).await });
+            }
+        });
+        upstream
+    }
+
+    pub fn set_load(&self, load: &str) {
+        load.clone_into(&mut self.state.lock().unwrap().load);
+    }
+
+    pub fn set_cold(&self, cold_ms: u64) {
+        self.state.lock().unwrap().cold_ms = cold_ms;
+    }
+
+    /// Heads of the requests that it read, without probes.
+    pub fn runs(&self) -> Vec<String> {
+        self.state.lock().unwrap().runs.clone()
+    }
+
+    pub fn probes(&self) -> usize {
+        self.state.lock().unwrap().probes
+    }
+
+    /// Requests whose connection ended before their answer.
+    pub fn closed(&self) -> usize {
+        self.state.lock().unwrap().closed
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        while let Some(head) = read_request(&mut stream).await {
+            if head.starts_with("GET /health ") {
+                let text = {
+                    let mut state = self.state.lock().unwrap();
+                    state.probes += 1;
+                    let (load, cold_ms) = (state.load.clone(), state.cold_ms);
+                    let id = id_line(&head);
+                    format!(
+                        "HTTP/1.1 200 OK\r\n{id}t-upstream: {}\r\nt-load: {load}\r\n\
+                         t-cold-ms: {cold_ms}\r\ncontent-length: 0\r\n\r\n",
+                        self.id
+                    )
+                };
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let act = {
+                let mut state = self.state.lock().unwrap();
+                state.runs.push(head.clone());
+                state.act
+            };
+            if !self.act(act, &head, &mut stream).await {
+                return;
+            }
+        }
+    }
+
+    /// Deals with a request; false ends the connection.
+    async fn act(&self, act: Act, head: &str, stream: &mut TcpStream) -> bool {
+        let id = id_line(head);
+        let good = format!(
+            "HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\ncontent-length: 4\r\n\r\ngood",
+            self.id
+        );
+        let text = match act {
+            Act::Serve(time) => {
+                if self.is_left(stream, time).await {
+                    return false;
+                }
+                good
+            }
+            Act::Fail => format!(
+                "HTTP/1.1 500 Broken\r\n{id}t-stamp: {}\r\ncontent-length: 3\r\n\r\nbad",
+                self.id
+            ),
+            Act::Shed => {
+                format!("HTTP/1.1 503 Full\r\n{id}t-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+            }
+            Act::Misdirect => {
+                format!("HTTP/1.1 421 Other\r\n{id}t-upstream: x\r\ncontent-length: 0\r\n\r\n")
+            }
+            Act::Reset => {
+                let option = socket2::SockRef::from(&*stream);
+                option.set_linger(Some(Duration::ZERO)).unwrap();
+                return false;
+            }
+            Act::Hang => {
+                self.is_left(stream, Duration::from_mins(1)).await;
+                return false;
+            }
+            Act::Truncate => good.replace("length: 4", "length: 40"),
+            Act::Unstamped => good.replace("t-stamp", "t-other"),
+            Act::Stray => {
+                let stray = "HTTP/1.1 200 OK\r\nt-id: stray\r\nt-stamp: s\r\ncontent-length: 5\r\n\
+                             \r\nwrong";
+                format!("{stray}{good}")
+            }
+        };
+        let is_written = stream.write_all(text.as_bytes()).await.is_ok();
+        is_written && act != Act::Truncate
+    }
+
+    /// Whether the other side closes the connection within `time`.
+    async fn is_left(&self, stream: &mut TcpStream, time: Duration) -> bool {
+        let mut byte = [0];
+        tokio::select! {
+            _ = stream.read(&mut byte) => {
+                self.state.lock().unwrap().closed += 1;
+                true
+            }
+            () = sleep(time) => false,
+        }
+    }
+}
+
+fn id_line(head: &str) -> String {
+    let line = head.lines().find(|line| line.starts_with("t-id: "));
+    line.map_or_else(String::new, |line| format!("{line}\r\n"))
+}
+
+/// Reads one request with its body.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8(text).ok()?;
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |length| length.parse().unwrap_or(0));
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + &String::from_utf8_lossy(&body))
+}
