Make two tests fail without what they test

Without the short reads of a slow store, and without the last look before a send, both had passed: the record was written before the check of the long read, and the upstream left before the request was polled.

--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -263,11 +263,15 @@
     let upstream = Upstream::start("up-1", NOW).await;
     let gateway = gateway_to(&[&upstream], &route());
     let report = report("up-1", upstream.address, UpstreamState::Draining);
-    let call = call(&route());
+    upstream.set_probe_time(Duration::from_millis(100));
+    let pending = {
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move { forward(&gateway, &call(&route())).await })
+    };
+    within(LIMIT, "it is asked", || upstream.probes() == 1).await;
 
-    let pending = forward(&gateway, &call);
     gateway.view().directory.put(report, 0);
-    let outcome = pending.await;
+    let outcome = pending.await.unwrap();
 
     expect_that!(reason(&outcome), some(eq(Reason::NoUpstream)));
     expect_that!(upstream.runs().len(), eq(0));
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -94,7 +94,7 @@
     follow_all(&gateway);
     within(CONFIG_BOUND, "version 1", || version(&gateway) == 1).await;
 
-    sleep(Duration::from_millis(300)).await;
+    sleep(Duration::from_millis(1_500)).await;
     store.write_unseen(Stream::Orders, "config", Some("2"));
     sleep(Duration::from_millis(200)).await;
     store.set(Mode::Well);
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -36,6 +36,7 @@
     act: Act,
     load: String,
     cold_ms: u64,
+    probe_time: Duration,
     runs: Vec<String>,
     probes: usize,
     closed: usize,
@@ -59,6 +60,7 @@
                 act,
                 load: "0,0,2,100".to_owned(),
                 cold_ms: 0,
+                probe_time: Duration::ZERO,
                 runs: Vec::new(),
                 probes: 0,
                 closed: 0,
@@ -82,6 +84,10 @@
         self.state.lock().unwrap().cold_ms = cold_ms;
     }
 
+    pub fn set_probe_time(&self, time: Duration) {
+        self.state.lock().unwrap().probe_time = time;
+    }
+
     /// Heads of the requests that it read, without probes.
     pub fn runs(&self) -> Vec<String> {
         self.state.lock().unwrap().runs.clone()
@@ -99,17 +105,19 @@
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
             if head.starts_with("GET /health ") {
-                let text = {
+                let (text, time) = {
                     let mut state = self.state.lock().unwrap();
                     state.probes += 1;
                     let (load, cold_ms) = (state.load.clone(), state.cold_ms);
                     let id = id_line(&head);
-                    format!(
+                    let text = format!(
                         "HTTP/1.1 200 OK\r\n{id}t-upstream: {}\r\nt-load: {load}\r\n\
                          t-cold-ms: {cold_ms}\r\ncontent-length: 0\r\n\r\n",
                         self.id
-                    )
+                    );
+                    (text, state.probe_time)
                 };
+                sleep(time).await;
                 if stream.write_all(text.as_bytes()).await.is_err() {
                     return;
                 }
