--- a/src/decision/directory.rs
+++ b/src/decision/directory.rs
@@ -120,8 +120,8 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return Change::None;
         };
-        let may_lapse = entry.upstream.report.state == UpstreamState::Ready;
-        if may_lapse && may_lapse {
+        let is_ready = entry.upstream.report.state == UpstreamState::Ready;
+        if may_lapse && is_ready {
             entry.lapses_at_ms = Some(now_ms + LAPSE_GRACE_MS);
             return Change::Lapsed;
         }
