Keep large answers in their data centre

Change: the weight of near upstreams and the cost of far ones grow with the mean bytes of the route.

--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -6,8 +6,12 @@
 pub const PROBES: usize = 3;
 /// Weight of an upstream in the own data centre when candidates are drawn.
 const NEAR_WEIGHT: f64 = 2.0;
+/// Weight that each kilobyte of request and answer adds to that.
+const NEAR_WEIGHT_PER_KB: f64 = 1.0;
 /// Factor on the cost of an upstream in another data centre.
-const FAR_COST: f64 = 1.2;
+const FAR_COST: f64 = 1.1;
+/// What each kilobyte of request and answer adds to that.
+const FAR_COST_PER_KB: f64 = 0.1;
 /// Factor on the cost of an upstream that calls itself unhealthy.
 const UNHEALTHY_COST: f64 = 8.0;
 /// Requests for each slot up to which an upstream counts as idle.
@@ -41,6 +45,28 @@
     pub is_healthy: bool,
 }
 
+/// How much rather a kind of request stays in its data centre; bytes between
+/// data centres are paid for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Nearness {
+    /// Weight of near upstreams when candidates are drawn.
+    pub weight: f64,
+    /// Factor on the cost of far upstreams.
+    pub far_cost: f64,
+}
+
+impl Nearness {
+    /// Nearness of requests with so many bytes, answers included.
+    #[must_use]
+    pub fn of_bytes(bytes: f64) -> Self {
+        let kilobytes = bytes / 1_000.0;
+        Self {
+            weight: NEAR_WEIGHT + NEAR_WEIGHT_PER_KB * kilobytes,
+            far_cost: FAR_COST + FAR_COST_PER_KB * kilobytes,
+        }
+    }
+}
+
 /// One upstream that may be drawn.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -51,8 +77,16 @@
 }
 
 /// Draws up to `count` different candidates, near and sound ones rather.
-pub fn shortlist(candidates: &[Candidate], count: usize, random: &mut impl Rng) -> Vec<usize> {
-    let mut weights: Vec<f64> = candidates.iter().map(weight).collect();
+pub fn shortlist(
+    candidates: &[Candidate],
+    nearness: Nearness,
+    count: usize,
+    random: &mut impl Rng,
+) -> Vec<usize> {
+    let mut weights = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        weights.push(weight(candidate, nearness));
+    }
     let mut drawn = Vec::with_capacity(count);
     while drawn.len() < count.min(candidates.len()) {
         let total: f64 = weights.iter().sum();
@@ -77,19 +111,23 @@
     drawn
 }
 
-fn weight(candidate: &Candidate) -> f64 {
-    let near = if candidate.is_near { NEAR_WEIGHT } else { 1.0 };
+fn weight(candidate: &Candidate, nearness: Nearness) -> f64 {
+    let near = if candidate.is_near {
+        nearness.weight
+    } else {
+        1.0
+    };
     near * (1.0 - candidate.failure_share).max(0.05)
 }
 
 /// Cost of sending to an upstream; the lowest one gets the request.
 #[must_use]
-pub fn cost(reading: &Reading, is_near: bool) -> f64 {
+pub fn cost(reading: &Reading, nearness: Nearness, is_near: bool) -> f64 {
     let mut cost = reading
         .load
         .map_or(1.0, |load| turns(&load) * load.speed_percent / USUAL_SPEED);
     if !is_near {
-        cost *= FAR_COST;
+        cost *= nearness.far_cost;
     }
     if !reading.is_healthy {
         cost *= UNHEALTHY_COST;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,14 +15,14 @@
 use super::calls::{Call, to_ms};
 use super::links::{Link, ProbeError, evidence_of};
 use super::outcome::{Outcome, Reason};
-use super::state::Gateway;
+use super::state::{Gateway, Means};
 use super::store::{HeaderNames, Platform};
 use crate::connection::exchange::{Answer, Connection, ExchangeError, Outgoing};
 use crate::decision::admission::{Admission, SEARCH_PAUSE_MS, Search};
 use crate::decision::condition::Evidence;
 use crate::decision::directory::Upstream;
 use crate::decision::selection::{
-    Candidate, PROBES, Reading, USUAL_SPEED, cost, is_good_enough, shortlist, turns,
+    Candidate, Nearness, PROBES, Reading, USUAL_SPEED, cost, is_good_enough, shortlist, turns,
 };
 
 /// Time for which further readings are awaited after the first one.
@@ -147,7 +147,7 @@
         held_ms: call.held_ms(),
         objective_ms: call.route.objective_ms,
         left_ms: call.left_ms(),
-        work_ms: gateway.work_ms(&call.route),
+        work_ms: gateway.means(&call.route).work_ms,
     }
 }
 
@@ -162,7 +162,7 @@
         if call.left_ms() == 0 {
             return Err(Outcome::own(Reason::LateUnsent));
         }
-        let (mut probed, candidates) = probe_some(gateway, service, trail).await;
+        let (mut probed, candidates) = probe_some(gateway, call, service, trail).await;
         let best = take_best(gateway, service, &mut probed);
         for other in probed {
             other.link.give_back(other.connection);
@@ -221,7 +221,7 @@
         best = reading,
         held_ms = call.held_ms(),
         left_ms = call.left_ms(),
-        work_ms = gateway.work_ms(&call.route),
+        work_ms = gateway.means(&call.route).work_ms,
         return_ms,
         "no room in time; refusing"
     );
@@ -231,10 +231,12 @@
 /// drawn.
 async fn probe_some<P: Platform>(
     gateway: &Arc<Gateway<P>>,
+    call: &Call,
     service: &Arc<str>,
     trail: &Trail,
 ) -> (Vec<Probed>, usize) {
     let now_ms = gateway.now_ms();
+    let nearness = Nearness::of_bytes(gateway.means(&call.route).bytes);
     let mut usable = Vec::new();
     let mut candidates = Vec::new();
     for upstream in gateway.upstreams(service) {
@@ -255,7 +257,7 @@
         });
         usable.push((upstream, link));
     }
-    let drawn = shortlist(&candidates, PROBES, &mut rand::rng());
+    let drawn = shortlist(&candidates, nearness, PROBES, &mut rand::rng());
     let health_path = gateway
         .manifest()
         .and_then(|manifest| Some(Arc::clone(&manifest.services.get(service)?.health_path)));
@@ -285,6 +287,7 @@
                 upstream,
                 link,
                 Arc::clone(&health_path),
+                nearness,
                 sender.clone(),
             );
             tokio::spawn(task);
@@ -301,6 +304,7 @@
     upstream: Arc<Upstream>,
     link: Arc<Link>,
     health_path: Arc<str>,
+    nearness: Nearness,
     sender: mpsc::Sender<Probed>,
 ) {
     let names = gateway.platform.headers();
@@ -308,7 +312,7 @@
         Ok((connection, reading)) => {
             let is_near = upstream.report.data_centre == gateway.settings().data_centre;
             let is_cold = reading.cold_left_ms > 0;
-            let mut cost = cost(&reading, is_near);
+            let mut cost = cost(&reading, nearness, is_near);
             if is_cold {
                 cost *= COLD_COST;
             }
@@ -463,7 +467,7 @@
 }
 
 fn expected_ms<P: Platform>(gateway: &Gateway<P>, call: &Call, reading: &Reading) -> f64 {
-    let work_ms = gateway.work_ms(&call.route);
+    let work_ms = gateway.means(&call.route).work_ms;
     let factor = reading.load.map_or(1.0, |load| {
         turns(&load).max(1.0) * (load.speed_percent / USUAL_SPEED).max(1.0)
     });
@@ -572,9 +576,11 @@
         && reading.cold_left_ms == 0;
     if answer.status.is_success() && is_typical {
         let work_ms = began.elapsed().as_secs_f64() * 1_000.0;
-        gateway.on_work(
-            &call.route,
-            work_ms * USUAL_SPEED / load.speed_percent.max(1.0),
-        );
+        let bytes = call.body.len() + answer.body.len();
+        let newest = Means {
+            work_ms: work_ms * USUAL_SPEED / load.speed_percent.max(1.0),
+            bytes: f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)),
+        };
+        gateway.learn(&call.route, newest);
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,8 +25,8 @@
 /// Part of the latency objective that work is taken to need before any answer
 /// has shown it.
 const FIRST_WORK_PART: f64 = 0.35;
-/// Weight of the newest answer in the mean time of work.
-const WORK_WEIGHT: f64 = 0.1;
+/// Weight of the newest answer in the means of a route.
+const MEAN_WEIGHT: f64 = 0.1;
 
 /// Lines about the changes that one read brings; more are counted only.
 const EVENT_LINES_MAX: usize = 40;
@@ -34,6 +34,15 @@
 /// Time after the store's return in which entries may have lapsed.
 const RETURN_WINDOW_MS: u64 = 2_500;
 
+/// What requests of a route take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Means {
+    /// Time on an idle upstream at its usual pace.
+    pub work_ms: f64,
+    /// Bytes of the bodies of request and answer.
+    pub bytes: f64,
+}
+
 /// State of the process.
 #[derive(Debug)]
 pub struct Gateway<P> {
@@ -58,7 +67,7 @@
     repeats: Mutex<Repeats>,
     cold_share: Mutex<ColdShare>,
     probe_budget: Mutex<ProbeBudget>,
-    work_ms: Mutex<HashMap<Arc<str>, f64>>,
+    means: Mutex<HashMap<Arc<str>, Means>>,
     stopping: watch::Sender<bool>,
     role: watch::Sender<bool>,
     news: watch::Sender<u64>,
@@ -87,7 +96,7 @@
             repeats: Mutex::default(),
             cold_share: Mutex::default(),
             probe_budget: Mutex::default(),
-            work_ms: Mutex::default(),
+            means: Mutex::default(),
             stopping: watch::Sender::new(false),
             role: watch::Sender::new(true),
             news: watch::Sender::new(0),
@@ -348,19 +357,25 @@
         is_known && !view.out.contains(&upstream.report.data_centre)
     }
 
-    /// Mean time that a request of a route takes on an idle upstream.
+    /// What requests of a route take in the mean.
     #[must_use]
-    pub fn work_ms(&self, route: &Route) -> f64 {
-        let known = lock(&self.work_ms).get(&route.name).copied();
+    pub fn means(&self, route: &Route) -> Means {
+        let known = lock(&self.means).get(&route.name).copied();
         let objective_ms = u32::try_from(route.objective_ms).unwrap_or(u32::MAX);
-        known.unwrap_or(FIRST_WORK_PART * f64::from(objective_ms))
+        known.unwrap_or(Means {
+            work_ms: FIRST_WORK_PART * f64::from(objective_ms),
+            bytes: 0.0,
+        })
     }
 
-    /// Learns from an answer how long work takes.
-    pub fn on_work(&self, route: &Route, work_ms: f64) {
-        let mean_ms = self.work_ms(route);
-        let learnt_ms = mean_ms + WORK_WEIGHT * (work_ms - mean_ms);
-        lock(&self.work_ms).insert(Arc::clone(&route.name), learnt_ms);
+    /// Learns from an answer.
+    pub fn learn(&self, route: &Route, newest: Means) {
+        let known = self.means(route);
+        let learnt = Means {
+            work_ms: known.work_ms + MEAN_WEIGHT * (newest.work_ms - known.work_ms),
+            bytes: known.bytes + MEAN_WEIGHT * (newest.bytes - known.bytes),
+        };
+        lock(&self.means).insert(Arc::clone(&route.name), learnt);
     }
 
     /// Logs what changed in the view, and follows it.
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -11,7 +11,9 @@
 use chicorywing::decision::manifest::{CallerLimits, Manifest, Route, Target};
 use chicorywing::decision::probe_budget::{ProbeBound, ProbeBudget};
 use chicorywing::decision::repeats::{RepeatBound, Repeats};
-use chicorywing::decision::selection::{Candidate, Load, Reading, cost, is_good_enough, shortlist};
+use chicorywing::decision::selection::{
+    Candidate, Load, Nearness, Reading, cost, is_good_enough, shortlist,
+};
 use chicorywing::decision::split::Splits;
 use googletest::prelude::*;
 use proptest::prelude::{prop, proptest};
@@ -25,6 +27,12 @@
     idle_ms: 15_000,
 };
 
+/// Nearness of requests without a body.
+const SMALL: Nearness = Nearness {
+    weight: 2.0,
+    far_cost: 1.1,
+};
+
 fn route(name: &str, host: &str, prefix: &str, targets: &[(&str, f64)]) -> Route {
     let mut parts = Vec::new();
     for (service, weight) in targets {
@@ -390,8 +398,8 @@
 
 #[gtest]
 fn an_idle_slow_upstream_costs_more_than_a_busy_fast_one() {
-    let idle_slow = cost(&reading(load(0, 0, 500.0)), true);
-    let busy_fast = cost(&reading(load(1, 0, 100.0)), true);
+    let idle_slow = cost(&reading(load(0, 0, 500.0)), SMALL, true);
+    let busy_fast = cost(&reading(load(1, 0, 100.0)), SMALL, true);
 
     expect_that!(busy_fast, lt(idle_slow));
     expect_that!(is_good_enough(&reading(load(0, 0, 100.0))), eq(true));
@@ -407,8 +415,8 @@
     };
 
     expect_that!(
-        cost(&reading(load(2, 1, 150.0)), true),
-        lt(cost(&ill, true))
+        cost(&reading(load(2, 1, 150.0)), SMALL, true),
+        lt(cost(&ill, SMALL, true))
     );
 }
 
@@ -428,7 +436,7 @@
     let mut first = [0_u32; 4];
 
     for _ in 0..3_000 {
-        let drawn = shortlist(&candidates, 3, &mut random);
+        let drawn = shortlist(&candidates, SMALL, 3, &mut random);
         let mut sorted = drawn.clone();
         sorted.sort_unstable();
         sorted.dedup();
@@ -440,6 +448,25 @@
     expect_that!(first[1], gt(300));
 }
 
+#[gtest]
+fn large_answers_stay_near_unless_far_is_much_sooner() {
+    let large = Nearness::of_bytes(6_000.0);
+    let small = Nearness::of_bytes(300.0);
+    let near_busy = reading(load(1, 0, 100.0));
+    let far_idle = reading(load(0, 0, 150.0));
+
+    expect_that!(
+        cost(&near_busy, large, true),
+        lt(cost(&far_idle, large, false))
+    );
+    expect_that!(
+        cost(&near_busy, small, true),
+        gt(cost(&far_idle, small, false))
+    );
+    let far_fast = cost(&reading(load(0, 0, 100.0)), large, false);
+    expect_that!(cost(&reading(load(0, 0, 500.0)), large, true), gt(far_fast));
+}
+
 fn search(held_ms: u64, left_ms: u64) -> Search {
     Search {
         priority: 0,
