Queue at an upstream only where the answer comes within the objective

Cause: in bursts late answers, worth a tenth, held the slots of timely ones. Change: without a free slot a request is sent only if it is expected to be answered within the latency objective, not just before the deadline.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -65,9 +65,11 @@
         if load.running + load.waiting < load.slots {
             return true;
         }
+        // A late answer is of little use, and takes the place of a timely one.
         let rounds = ROUNDS_MAX - ROUNDS_PER_RANK * f64::from(self.priority.min(3));
         let expected_ms = turns(load) * self.work_ms * load.speed_percent / USUAL_SPEED;
-        turns(load) <= rounds && expected_ms < to_f64(self.left_ms)
+        let useful_ms = to_f64(self.objective_ms.min(self.held_ms + self.left_ms));
+        turns(load) <= rounds && to_f64(self.held_ms) + expected_ms < useful_ms
     }
 
     /// Half a run from now a slot is likely to be free.
