Follow a seed from the start, keep to standing connections, wait longer for the unreachable

Cause: each start read the store some ten times before it knew its reader; a new connection stood for every 0.3 to 0.6 requests; upstreams that refuse connections or whose address has another owner were asked every 0.4 s. Change: a process that knows nobody follows a seed once one reads the store; connected upstreams are drawn four times as often; the pause doubles to 1.6 s.

--- a/src/decision/condition.rs
+++ b/src/decision/condition.rs
@@ -10,8 +10,11 @@
 const EJECTION_MS: u64 = 800;
 /// Longest ejection.
 const EJECTION_MAX_MS: u64 = 6_400;
-/// Pause after a connection was refused.
+/// First pause after a connection was refused; each further one is twice as
+/// long.
 const REFUSED_PAUSE_MS: u64 = 400;
+/// Longest such pause; a crashed upstream is back after some seconds.
+const REFUSED_PAUSE_MAX_MS: u64 = 1_600;
 
 /// How a request or probe ended, as far as the upstream's condition goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -33,6 +36,7 @@
     failures_in_row: u32,
     failure_share: f64,
     ejections: u32,
+    refusals: u32,
     ejected_until_ms: u64,
     is_on_trial: bool,
     trial_runs: bool,
@@ -70,6 +74,9 @@
     /// Takes an outcome in; true if it ejects the upstream.
     pub fn on_evidence(&mut self, evidence: Evidence, now_ms: u64) -> bool {
         self.trial_runs = false;
+        if evidence != Evidence::Unreachable {
+            self.refusals = 0;
+        }
         match evidence {
             Evidence::Served => {
                 self.failures_in_row = 0;
@@ -85,7 +92,9 @@
             }
             Evidence::Failed | Evidence::Shed => self.on_failure(now_ms),
             Evidence::Unreachable => {
-                self.ejected_until_ms = self.ejected_until_ms.max(now_ms + REFUSED_PAUSE_MS);
+                let pause_ms = doubled(REFUSED_PAUSE_MS, self.refusals).min(REFUSED_PAUSE_MAX_MS);
+                self.refusals += 1;
+                self.ejected_until_ms = self.ejected_until_ms.max(now_ms + pause_ms);
                 true
             }
         }
@@ -100,12 +109,15 @@
         if !is_bad {
             return false;
         }
-        let time_ms = EJECTION_MS
-            .saturating_mul(1 << self.ejections.min(8))
-            .min(EJECTION_MAX_MS);
+        let time_ms = doubled(EJECTION_MS, self.ejections).min(EJECTION_MAX_MS);
         self.ejections += 1;
         self.ejected_until_ms = now_ms + time_ms;
         self.is_on_trial = true;
         true
     }
 }
+
+/// A time doubled so many times.
+fn doubled(time_ms: u64, times: u32) -> u64 {
+    time_ms.saturating_mul(1 << times.min(16))
+}
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -9,6 +9,8 @@
 const NEAR_WEIGHT: f64 = 2.0;
 /// Weight that each kilobyte of request and answer adds to that.
 const NEAR_WEIGHT_PER_KB: f64 = 1.0;
+/// Weight of an upstream to which a connection stands; a new one takes its time.
+const CONNECTED_WEIGHT: f64 = 4.0;
 /// Factor on the cost of an upstream in another data centre.
 const FAR_COST: f64 = 1.1;
 /// What each kilobyte of request and answer adds to that.
@@ -73,6 +75,8 @@
 pub struct Candidate {
     /// Whether it stands in the own data centre.
     pub is_near: bool,
+    /// Whether a connection to it stands.
+    pub is_connected: bool,
     /// Share of its recent requests that failed.
     pub failure_share: f64,
 }
@@ -118,7 +122,12 @@
     } else {
         1.0
     };
-    near * (1.0 - candidate.failure_share).max(0.05)
+    let connected = if candidate.is_connected {
+        CONNECTED_WEIGHT
+    } else {
+        1.0
+    };
+    near * connected * (1.0 - candidate.failure_share).max(0.05)
 }
 
 /// Cost of sending to an upstream; the lowest one gets the request.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -254,6 +254,7 @@
         }
         candidates.push(Candidate {
             is_near: upstream.report.data_centre == gateway.settings().data_centre,
+            is_connected: link.is_connected(),
             failure_share,
         });
         usable.push((upstream, link));
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -80,6 +80,12 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a connection waits for a request.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        !self.idle().is_empty()
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle();
         while let Some(connection) = idle.pop() {
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -11,9 +11,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep};
 
 use super::relay::{AskError, Teller};
+use super::settings::Settings;
 use super::state::Gateway;
 use super::store::Platform;
 use super::view::View;
@@ -27,6 +29,9 @@
 /// Pause where there is nobody to ask.
 const ALONE_PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause between questions to seeds that do not read the store yet.
+const SEED_PAUSE: Duration = Duration::from_millis(150);
+
 /// Follows the reader of the data centre, or is it.
 pub async fn share<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut suspects: HashMap<SocketAddr, Instant> = HashMap::new();
@@ -34,7 +39,10 @@
     loop {
         suspects.retain(|_, until| *until > Instant::now());
         let is_usable = |address: &SocketAddr| !suspects.contains_key(address);
-        let source = {
+        let is_alone = gateway.view().instances.len() < 2;
+        let source = if is_alone {
+            choose_seed(&gateway.settings(), is_usable)
+        } else {
             let view = gateway.view();
             choose_source(&gateway, &view, is_usable)
         };
@@ -56,6 +64,10 @@
             Ok(()) => {}
             Err(error) => {
                 teller = None;
+                if is_alone && matches!(error, AskError::NoReader) && !source.is_reader {
+                    sleep(SEED_PAUSE).await;
+                    continue;
+                }
                 suspects.insert(address, Instant::now() + SUSPECT_TIME);
                 if !source.is_reader {
                     gateway.set_role(true, "its reader does not answer");
@@ -73,6 +85,20 @@
     address: Option<SocketAddr>,
 }
 
+/// Whom to follow while no other instance is known.
+///
+/// Every process reads the store at its start, so that it is ready soon, and
+/// stops once a seed does it.
+fn choose_seed(settings: &Settings, is_usable: impl Fn(&SocketAddr) -> bool) -> Source {
+    let is_seed = settings.seeds.contains(&settings.peer_address);
+    let mut seeds = settings.seeds.clone();
+    seeds.retain(|seed| *seed != settings.peer_address && is_usable(seed));
+    Source {
+        is_reader: is_seed || seeds.is_empty(),
+        address: seeds.choose(&mut rand::rng()).copied(),
+    }
+}
+
 fn choose_source<P: Platform>(
     gateway: &Gateway<P>,
     view: &View,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -170,7 +170,8 @@
     /// Takes records in: those that follow the known ones, or the newest of all.
     pub fn take_in(&self, stream: Stream, records: Records, are_next: bool, source: &str) {
         let now_ms = self.now_ms();
-        let may_lapse = self.lapses_left_ms() > 0;
+        let is_store_lost = self.lost_streams.load(Ordering::Relaxed) > 0;
+        let may_lapse = is_store_lost || self.lapses_left_ms() > 0;
         let offset = records.next;
         let (events, is_news) = {
             let mut view = self.view();
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -425,6 +425,7 @@
     let mut random = StdRng::seed_from_u64(7);
     let candidate = |is_near| Candidate {
         is_near,
+        is_connected: false,
         failure_share: 0.0,
     };
     let candidates = [
