Give a second reader time to take over, try a lost store less often, start by the seeds

Change: 0.6 s for the next instance to take over; tries at a lost store back off to 1.6 s; at the first start of all only seeds read the store for 2 s.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -13,8 +13,12 @@
 use super::store::{Platform, Records, StoreError, Stream};
 use super::view::instance_key;
 
-/// Pause between tries while the store does not answer.
-const RETRY_PAUSE_MS: std::ops::Range<u64> = 250..450;
+/// Pause before the first further try while the store does not answer; each
+/// one is twice as long.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 250..400;
+/// Times that the pause is doubled; the longest one stays well within the
+/// platform's bounds after the store's return.
+const RETRY_DOUBLINGS: u32 = 2;
 
 impl Stream {
     /// Longest wait of one read. That of the upstreams is short, since it also
@@ -51,11 +55,13 @@
 #[derive(Debug, Default)]
 struct Contact {
     lost_at: Option<Instant>,
+    failures: u32,
 }
 
 impl Contact {
     /// Notes an answer; true for the first one after failures.
     fn on_answer(&mut self, stream: Stream) -> bool {
+        self.failures = 0;
         let Some(lost_at) = self.lost_at.take() else {
             return false;
         };
@@ -74,6 +80,7 @@
 
     /// Notes a failure; true for the first one.
     fn on_failure(&mut self, stream: Stream, error: &StoreError) -> bool {
+        self.failures += 1;
         if self.lost_at.is_some() {
             return false;
         }
@@ -147,13 +154,18 @@
                     gateway.store_doubt.notify_waiters();
                 }
                 relay::ask_any(&gateway).await;
-                let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
-                sleep(Duration::from_millis(pause_ms)).await;
+                sleep(retry_pause(contact.failures)).await;
             }
         }
     }
 }
 
+fn retry_pause(failures: u32) -> Duration {
+    let first_ms = rand::rng().random_range(RETRY_PAUSE_MS);
+    let doublings = failures.saturating_sub(1).min(RETRY_DOUBLINGS);
+    Duration::from_millis(first_ms << doublings)
+}
+
 /// Waits until this instance is a reader, or is none any more; false at the
 /// end of the process.
 async fn wait_for_role(role: &mut watch::Receiver<bool>, is_reader: bool) -> bool {
@@ -212,7 +224,6 @@
                 Err(error) => tracing::warn!(%error, "cannot tell the address of this instance"),
             }
         }
-        let pause_ms = rand::rng().random_range(RETRY_PAUSE_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
+        sleep(retry_pause(1)).await;
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -76,9 +76,6 @@
     /// It did not answer in time.
     #[error("no answer in time")]
     Silent,
-    /// It does not read the store itself.
-    #[error("it does not follow the store")]
-    NoReader,
 }
 
 struct Server<P> {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -30,6 +30,8 @@
     pub peer_address: SocketAddr,
     /// Where some other instances may be found at the start.
     pub seeds: Vec<SocketAddr>,
+    /// Whether all instances start for the first time.
+    pub is_first_start: bool,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Memory that the process may take, in megabytes.
@@ -119,6 +121,7 @@
     let metrics_address = address(reader, fields, "metrics_address");
     let peer_address = address(reader, fields, "peer_address");
     let store_address = address(reader, fields, "store_address");
+    let is_first_start = is_true(reader, fields, "is_first_start");
     let memory = fields.number_or(reader, "memory_limit_mb", 1, MEMORY_MAX_MB, MEMORY_MAX_MB);
     let stop_limit_ms = duration_ms(reader, fields, "stop_limit");
     let ratio = decimal(reader, fields, "repeat_ratio");
@@ -140,6 +143,7 @@
         metrics_address: metrics_address?,
         peer_address: peer_address?,
         seeds,
+        is_first_start: is_first_start?,
         store_address: store_address?,
         memory_limit_mb: memory.value,
         stop_limit_ms: stop_limit_ms?,
@@ -175,6 +179,12 @@
     parsed(reader, name, &text, parse_duration_ms(&text.value), remedy)
 }
 
+fn is_true(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<bool> {
+    let text = fields.text(reader, name)?;
+    let remedy = "write \"true\" or \"false\"";
+    parsed(reader, name, &text, text.value.parse().ok(), remedy)
+}
+
 fn decimal(reader: &mut Reader<'_>, fields: &mut Fields<'_>, name: &str) -> Option<f64> {
     let text = fields.text(reader, name)?;
     let value = text.value.parse().ok().filter(|value: &f64| *value >= 0.0);
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -29,23 +29,36 @@
 /// Pause where there is nobody to ask.
 const ALONE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Pause between questions to seeds that do not read the store yet.
-const SEED_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which an instance that does not read the store may take it up; it
+/// learns of a lost reader as late as this one does.
+const TAKE_OVER_TIME: Duration = Duration::from_millis(600);
+/// Pause between questions to an instance that does not read the store yet.
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(100);
+/// Time after the first start of all instances in which a seed may tell
+/// everything; callers come seconds later.
+const SEED_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Leaves the store to the seeds when all instances start for the first time.
+///
+/// At any other start callers wait, so the store is read at once.
+pub async fn start<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let settings = gateway.settings();
+    let is_seed = settings.seeds.contains(&settings.peer_address);
+    if !settings.is_first_start || is_seed || settings.seeds.is_empty() {
+        return;
+    }
+    gateway.set_role(false, "a seed may know all at the start");
+    sleep(SEED_PATIENCE).await;
+    if !gateway.is_ready() {
+        gateway.set_role(true, "no seed knows all at the start");
+    }
+}
 
 /// Follows the reader of the data centre, or is it.
 pub async fn share<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let mut suspects: HashMap<SocketAddr, Instant> = HashMap::new();
-    let mut teller: Option<Teller> = None;
+    let mut following = Following::default();
     loop {
-        suspects.retain(|_, until| *until > Instant::now());
-        let is_usable = |address: &SocketAddr| !suspects.contains_key(address);
-        let is_alone = gateway.view().instances.len() < 2;
-        let source = if is_alone {
-            choose_seed(&gateway.settings(), is_usable)
-        } else {
-            let view = gateway.view();
-            choose_source(&gateway, &view, is_usable)
-        };
+        let source = following.choose(&gateway);
         if source.is_reader {
             gateway.set_role(true, "first of its data centre");
         }
@@ -53,31 +66,83 @@
             sleep(ALONE_PAUSE).await;
             continue;
         };
-        let asked = ask(&gateway, &mut teller, address).await;
-        let told_by_reader = match asked {
-            Ok(true) => Ok(()),
-            Ok(false) => Err(AskError::NoReader),
-            Err(error) => Err(error),
-        };
-        match told_by_reader {
-            Ok(()) if !source.is_reader => gateway.set_role(false, "its reader answers"),
-            Ok(()) => {}
-            Err(error) => {
-                teller = None;
-                if is_alone && matches!(error, AskError::NoReader) && !source.is_reader {
-                    sleep(SEED_PAUSE).await;
-                    continue;
+        match following.ask(&gateway, address).await {
+            Ok(true) => {
+                following.taking_over = None;
+                if !source.is_reader {
+                    gateway.set_role(false, "its reader answers");
+                }
+            }
+            Ok(false) if following.may_take_over(address) => sleep(TAKE_OVER_PAUSE).await,
+            Ok(false) => {
+                following.suspect(address, &"it does not read the store");
+                if !source.is_reader {
+                    gateway.set_role(true, "its reader has lost the store");
                 }
-                suspects.insert(address, Instant::now() + SUSPECT_TIME);
+            }
+            Err(error) => {
+                following.suspect(address, &error);
                 if !source.is_reader {
                     gateway.set_role(true, "its reader does not answer");
                 }
-                tracing::info!(%address, %error, "an instance is not followed any more");
             }
         }
     }
 }
 
+/// Whom this instance follows, and whom it has given up for a while.
+#[derive(Debug, Default)]
+struct Following {
+    suspects: HashMap<SocketAddr, Instant>,
+    teller: Option<Teller>,
+    taking_over: Option<(SocketAddr, Instant)>,
+}
+
+impl Following {
+    fn choose<P: Platform>(&mut self, gateway: &Gateway<P>) -> Source {
+        self.suspects.retain(|_, until| *until > Instant::now());
+        let is_usable = |address: &SocketAddr| !self.suspects.contains_key(address);
+        let view = gateway.view();
+        if view.instances.len() < 2 {
+            choose_seed(&gateway.settings(), is_usable)
+        } else {
+            choose_source(gateway, &view, is_usable)
+        }
+    }
+
+    /// Asks over the kept connection, or a new one; true if a reader answered.
+    async fn ask<P: Platform>(
+        &mut self,
+        gateway: &Gateway<P>,
+        address: SocketAddr,
+    ) -> Result<bool, AskError> {
+        let kept = self.teller.take().filter(|kept| kept.address() == address);
+        let teller = match kept {
+            Some(kept) => kept,
+            None => Teller::open(address).await?,
+        };
+        let answer = teller.ask(gateway, WAIT).await?;
+        self.teller = Some(teller);
+        Ok(answer)
+    }
+
+    fn may_take_over(&mut self, address: SocketAddr) -> bool {
+        match self.taking_over {
+            Some((known, since)) if known == address => since.elapsed() < TAKE_OVER_TIME,
+            _ => {
+                self.taking_over = Some((address, Instant::now()));
+                true
+            }
+        }
+    }
+
+    fn suspect(&mut self, address: SocketAddr, why: &dyn std::fmt::Display) {
+        tracing::info!(%address, %why, "an instance is not followed any more");
+        self.taking_over = None;
+        self.suspects.insert(address, Instant::now() + SUSPECT_TIME);
+    }
+}
+
 /// Whom to follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Source {
@@ -86,9 +151,6 @@
 }
 
 /// Whom to follow while no other instance is known.
-///
-/// Every process reads the store at its start, so that it is ready soon, and
-/// stops once a seed does it.
 fn choose_seed(settings: &Settings, is_usable: impl Fn(&SocketAddr) -> bool) -> Source {
     let is_seed = settings.seeds.contains(&settings.peer_address);
     let mut seeds = settings.seeds.clone();
@@ -135,19 +197,3 @@
         }
     }
 }
-
-/// Asks over the kept connection, or a new one; true if a reader answered.
-async fn ask<P: Platform>(
-    gateway: &Gateway<P>,
-    teller: &mut Option<Teller>,
-    address: SocketAddr,
-) -> Result<bool, AskError> {
-    let kept = teller.take().filter(|kept| kept.address() == address);
-    let open = match kept {
-        Some(kept) => kept,
-        None => Teller::open(address).await?,
-    };
-    let answer = open.ask(gateway, WAIT).await?;
-    *teller = Some(open);
-    Ok(answer)
-}
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -328,6 +328,7 @@
         metrics_address: nowhere,
         peer_address,
         seeds: seeds.to_vec(),
+        is_first_start: false,
         store_address: nowhere,
         memory_limit_mb: 260,
         stop_limit_ms: 6_000,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -297,6 +297,7 @@
         ("{{listen.control|json}}", "\"10.0.0.1:82\""),
         ("{{ip}}", "10.0.0.1"),
         ("{{seeds|json}}", "[\"10.0.0.1:82\",\"10.0.0.2:82\"]"),
+        ("{{bootstrap}}", "true"),
         ("{{provider.addr|json}}", "\"10.9.0.1:84\""),
         ("{{limits.memory-mb}}", "260"),
         ("{{bounds.grace|json}}", "\"6s\""),
