Settle by the seeds at the first start

Change: the role is set first; for 4 s after the first start of all, seeds are followed and errors do not change the role.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -101,10 +101,10 @@
 }
 
 fn start_followers<P: Platform>(gateway: &Arc<Gateway<P>>) {
+    sharing::start(gateway);
     for stream in [Stream::Orders, Stream::Upstreams, Stream::Instances] {
         tokio::spawn(follower::follow(Arc::clone(gateway), stream));
     }
-    tokio::spawn(sharing::start(Arc::clone(gateway)));
     tokio::spawn(sharing::share(Arc::clone(gateway)));
     tokio::spawn(follower::check(Arc::clone(gateway)));
     tokio::spawn(follower::register(Arc::clone(gateway)));
--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -38,25 +38,38 @@
 /// everything; callers come seconds later.
 const SEED_PATIENCE: Duration = Duration::from_secs(2);
 
-/// Leaves the store to the seeds when all instances start for the first time.
+/// Time after the first start of all instances until each one is known to the
+/// others; they would not agree on readers before.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
+/// Leaves the store to the seeds when all instances start for the first time;
+/// to be called before the store is followed.
 ///
 /// At any other start callers wait, so the store is read at once.
-pub async fn start<P: Platform>(gateway: Arc<Gateway<P>>) {
+pub fn start<P: Platform>(gateway: &Arc<Gateway<P>>) {
     let settings = gateway.settings();
     let is_seed = settings.seeds.contains(&settings.peer_address);
     if !settings.is_first_start || is_seed || settings.seeds.is_empty() {
         return;
     }
-    gateway.set_role(false, "a seed may know all at the start");
-    sleep(SEED_PATIENCE).await;
-    if !gateway.is_ready() {
-        gateway.set_role(true, "no seed knows all at the start");
-    }
+    gateway.set_role(false, "the seeds read the store at the first start");
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        sleep(SEED_PATIENCE).await;
+        if !gateway.is_ready() {
+            gateway.set_role(true, "no seed knows all at the first start");
+        }
+    });
 }
 
 /// Follows the reader of the data centre, or is it.
 pub async fn share<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let mut following = Following::default();
+    let mut following = Following {
+        began: Instant::now(),
+        suspects: HashMap::new(),
+        teller: None,
+        taking_over: None,
+    };
     loop {
         let source = following.choose(&gateway);
         if source.is_reader {
@@ -73,6 +86,8 @@
                     gateway.set_role(false, "its reader answers");
                 }
             }
+            // Seeds may start a little later, and read the store then.
+            Ok(false) | Err(_) if following.is_settling(&gateway) => sleep(TAKE_OVER_PAUSE).await,
             Ok(false) if following.may_take_over(address) => sleep(TAKE_OVER_PAUSE).await,
             Ok(false) => {
                 following.suspect(address, &"it does not read the store");
@@ -91,19 +106,24 @@
 }
 
 /// Whom this instance follows, and whom it has given up for a while.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Following {
+    began: Instant,
     suspects: HashMap<SocketAddr, Instant>,
     teller: Option<Teller>,
     taking_over: Option<(SocketAddr, Instant)>,
 }
 
 impl Following {
+    fn is_settling<P: Platform>(&self, gateway: &Gateway<P>) -> bool {
+        gateway.settings().is_first_start && self.began.elapsed() < SETTLE_TIME
+    }
+
     fn choose<P: Platform>(&mut self, gateway: &Gateway<P>) -> Source {
         self.suspects.retain(|_, until| *until > Instant::now());
         let is_usable = |address: &SocketAddr| !self.suspects.contains_key(address);
         let view = gateway.view();
-        if view.instances.len() < 2 {
+        if self.is_settling(gateway) || view.instances.len() < 2 {
             choose_seed(&gateway.settings(), is_usable)
         } else {
             choose_source(gateway, &view, is_usable)
