Open a new connection where the upstream closes the probe's

Cause: an upstream that is leaving says Connection: close in its answer to a probe; the request went out on that connection all the same and was cut, 502 where it may run once only. Test: calls::a_request_does_not_take_a_connection_that_its_upstream_closes, failing before.

--- a/src/decision/probe_budget.rs
+++ b/src/decision/probe_budget.rs
@@ -48,9 +48,9 @@
             held: most,
             filled_ms: now_ms,
         });
-        let elapsed_ms = now_ms.saturating_sub(bucket.filled_ms);
-        let elapsed_s = f64::from(u32::try_from(elapsed_ms).unwrap_or(u32::MAX)) / 1_000.0;
-        bucket.held = (bucket.held + elapsed_s * per_s).min(most);
+        let since_ms = now_ms.saturating_sub(bucket.filled_ms);
+        let since_ms = f64::from(u32::try_from(since_ms).unwrap_or(u32::MAX));
+        bucket.held = (bucket.held + since_ms * per_s / 1_000.0).min(most);
         bucket.filled_ms = now_ms;
         let mut taken = 1;
         bucket.held = (bucket.held - 1.0).max(0.0);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -444,10 +444,18 @@
         link: &link,
         is_settled: false,
     };
+    let connection = link.keep_or_open(chosen.connection, &gateway.meters).await;
+    let mut connection = match connection {
+        Ok(connection) => connection,
+        Err(error) => {
+            guard.is_settled = true;
+            note(gateway, call, &link, evidence_of(&error), &error);
+            return Sent::NotRun;
+        }
+    };
     let request = outgoing(names, call, &chosen.upstream.report.id);
     let began = Instant::now();
     let until = give_up_at(call, expected_ms, began);
-    let mut connection = chosen.connection;
     let exchange = connection.exchange(&request, Some(&names.request_id));
     let ended = timeout_at(until, exchange).await;
     guard.is_settled = true;
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -14,7 +14,6 @@
 /// Writes log lines to standard output until the guard is dropped.
 ///
 /// A filter that cannot be read falls back to `info`.
-#[must_use]
 pub fn init(filter: &str) -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES_MAX)
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Whether this is a link to the process that reports.
+    fn is_to(&self, report: &UpstreamReport) -> bool {
+        self.address == report.address && self.born_ms == report.born_ms
+    }
+
     /// What the outcomes so far say of it.
     pub fn condition(&self) -> MutexGuard<'_, Condition> {
         self.condition
@@ -112,6 +117,21 @@
         self.idle().retain(Connection::is_usable);
     }
 
+    /// The connection of a probe, or a new one where the upstream closes that.
+    ///
+    /// # Errors
+    /// Where no new connection can be opened; nothing has been sent then.
+    pub async fn keep_or_open(
+        &self,
+        probed: Connection,
+        meters: &Meters,
+    ) -> Result<Connection, ProbeError> {
+        if probed.is_usable() {
+            return Ok(probed);
+        }
+        self.open(meters).await
+    }
+
     async fn open(&self, meters: &Meters) -> Result<Connection, ProbeError> {
         meters.connections_opened.inc();
         Connection::open(self.address, CONNECT_LIMIT)
@@ -238,10 +258,9 @@
     /// The link to an upstream; a new process gets a new one.
     pub fn get(&self, report: &UpstreamReport) -> Arc<Link> {
         let mut by_id = self.by_id();
-        if let Some(link) = by_id.get(&report.id) {
-            if link.address == report.address && link.born_ms == report.born_ms {
-                return Arc::clone(link);
-            }
+        let known = by_id.get(&report.id);
+        if let Some(link) = known.filter(|link| link.is_to(report)) {
+            return Arc::clone(link);
         }
         let link = Arc::new(Link::new(report));
         by_id.insert(Arc::clone(&report.id), Arc::clone(&link));
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -145,7 +145,7 @@
             () = sleep(SETTINGS_INTERVAL) => {}
         }
         match Settings::load(&path) {
-            Ok(settings) => gateway.replace_settings(settings),
+            Ok(settings) => gateway.replace_settings(&settings),
             Err(error) => {
                 let error = error.to_string();
                 if error != refused {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -114,9 +114,9 @@
     }
 
     /// Puts new settings in force; addresses and names stay until a restart.
-    pub fn replace_settings(&self, new: Settings) {
+    pub fn replace_settings(&self, new: &Settings) {
         let known = self.settings();
-        if *known == new {
+        if *known == *new {
             return;
         }
         let kept = Settings {
@@ -130,7 +130,7 @@
             log_filter: Arc::clone(&known.log_filter),
             ..new.clone()
         };
-        if kept != new {
+        if kept != *new {
             tracing::warn!("new names, addresses or log filters are used from the next start on");
         }
         if kept != *known {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's store.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -284,7 +285,8 @@
         if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
             encoded.push(char::from(byte));
         } else {
-            encoded.push_str(&format!("%{byte:02X}"));
+            // Writing to a string does not fail.
+            let _ = write!(encoded, "%{byte:02X}");
         }
     }
     encoded
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -344,3 +344,16 @@
     expect_that!(upstream.probes(), eq(5));
     expect_that!(gateway.meters.connections_opened.get(), eq(1));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_request_does_not_take_a_connection_that_its_upstream_closes() {
+    let upstream = Upstream::start("up-1", NOW).await;
+    upstream.close_after_probes();
+    let gateway = gateway_to(&[&upstream], &unsafe_route());
+
+    for _ in 0..5 {
+        let outcome = forward(&gateway, &call(&unsafe_route())).await;
+        expect_that!(body(&outcome), eq(b"good"));
+    }
+}
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -37,6 +37,7 @@
     load: String,
     cold_ms: u64,
     probe_time: Duration,
+    closes_after_probe: bool,
     runs: Vec<String>,
     probes: usize,
     closed: usize,
@@ -61,6 +62,7 @@
                 load: "0,0,2,100".to_owned(),
                 cold_ms: 0,
                 probe_time: Duration::ZERO,
+                closes_after_probe: false,
                 runs: Vec::new(),
                 probes: 0,
                 closed: 0,
@@ -88,6 +90,11 @@
         self.state.lock().unwrap().probe_time = time;
     }
 
+    /// Makes it close each connection after a probe, as it then says.
+    pub fn close_after_probes(&self) {
+        self.state.lock().unwrap().closes_after_probe = true;
+    }
+
     /// Heads of the requests that it read, without probes.
     pub fn runs(&self) -> Vec<String> {
         self.state.lock().unwrap().runs.clone()
@@ -105,20 +112,23 @@
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
             if head.starts_with("GET /health ") {
-                let (text, time) = {
+                let (text, time, closes) = {
                     let mut state = self.state.lock().unwrap();
                     state.probes += 1;
                     let (load, cold_ms) = (state.load.clone(), state.cold_ms);
                     let id = id_line(&head);
+                    let closes = state.closes_after_probe;
+                    let close = if closes { "connection: close\r\n" } else { "" };
                     let text = format!(
-                        "HTTP/1.1 200 OK\r\n{id}t-upstream: {}\r\nt-load: {load}\r\n\
+                        "HTTP/1.1 200 OK\r\n{id}{close}t-upstream: {}\r\nt-load: {load}\r\n\
                          t-cold-ms: {cold_ms}\r\ncontent-length: 0\r\n\r\n",
                         self.id
                     );
-                    (text, state.probe_time)
+                    (text, state.probe_time, closes)
                 };
                 sleep(time).await;
-                if stream.write_all(text.as_bytes()).await.is_err() {
+                let is_written = stream.write_all(text.as_bytes()).await.is_ok();
+                if !is_written || closes {
                     return;
                 }
                 continue;
