Ask more upstreams after 15 ms without a reading

Change: a round of probes waits 15 ms for its first reading, the last one 300 ms; readings that come later still count. Test: calls::a_silent_upstream_holds_a_request_for_moments_only, failing before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -28,8 +28,11 @@
 
 /// Time for which further readings are awaited after the first one.
 const MORE_READINGS: Duration = Duration::from_millis(10);
-/// Time for which a first reading is awaited.
-const FIRST_READING: Duration = Duration::from_millis(300);
+/// Time for which a first reading is awaited before more upstreams are asked;
+/// ten times a round trip within a region.
+const ROUND_READING: Duration = Duration::from_millis(15);
+/// Time for which a first reading is awaited once all are asked.
+const LAST_READING: Duration = Duration::from_millis(300);
 /// Factor on the cost of a cold upstream; it works at half its pace.
 const COLD_COST: f64 = 2.0;
 /// Factor on the expected time after which an idempotent request that got no
@@ -267,33 +270,86 @@
     let Some(health_path) = health_path else {
         return (Vec::new(), 0);
     };
-    let mut found = Vec::with_capacity(drawn.len());
+    let mut asking = Asking::new(drawn.len());
     let mut rest = &drawn[..];
-    for wanted in PROBE_ROUNDS {
+    for (round, wanted) in PROBE_ROUNDS.into_iter().enumerate() {
         let wanted = wanted.min(rest.len());
-        if wanted == 0 || is_settled(gateway, call, &found) {
+        if wanted == 0 || is_settled(gateway, call, &asking.found) {
             break;
         }
         let count = gateway.take_probes(service, candidates.len(), wanted);
         let (now, later) = rest.split_at(count);
         rest = later;
-        let (sender, receiver) = mpsc::channel(wanted);
         for index in now {
             let (upstream, link) = usable[*index].clone();
-            let task = probe_one(
-                Arc::clone(gateway),
-                upstream,
-                link,
-                Arc::clone(&health_path),
-                nearness,
-                sender.clone(),
-            );
-            tokio::spawn(task);
+            let health_path = Arc::clone(&health_path);
+            let task = probe_one(Arc::clone(gateway), upstream, link, health_path, nearness);
+            asking.spawn(task);
         }
-        drop(sender);
-        found.extend(collect(receiver).await);
+        let is_last = rest.is_empty() || round + 1 == PROBE_ROUNDS.len();
+        let wait = if is_last { LAST_READING } else { ROUND_READING };
+        asking.collect(wait).await;
+    }
+    (asking.finish(), candidates.len())
+}
+
+/// Probes on their way, and the readings that have come.
+struct Asking {
+    sender: mpsc::Sender<Option<Probed>>,
+    receiver: mpsc::Receiver<Option<Probed>>,
+    outstanding: usize,
+    found: Vec<Probed>,
+}
+
+impl Asking {
+    fn new(most: usize) -> Self {
+        let (sender, receiver) = mpsc::channel(most.max(1));
+        Self {
+            sender,
+            receiver,
+            outstanding: 0,
+            found: Vec::with_capacity(most),
+        }
+    }
+
+    /// Starts a probe; its connection is kept also where the answer comes late.
+    fn spawn(&mut self, probe: impl Future<Output = Option<Probed>> + Send + 'static) {
+        self.outstanding += 1;
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            if let Err(late) = sender.send(probe.await).await
+                && let Some(probed) = late.0
+            {
+                probed.link.give_back(probed.connection);
+            }
+        });
+    }
+
+    /// Waits for a first reading, and for moments for those that follow it.
+    async fn collect(&mut self, wait: Duration) {
+        let mut until = Instant::now() + wait;
+        if !self.found.is_empty() {
+            until = until.min(Instant::now() + MORE_READINGS);
+        }
+        while self.outstanding > 0 {
+            let Ok(Some(answer)) = timeout_at(until, self.receiver.recv()).await else {
+                return;
+            };
+            self.outstanding -= 1;
+            if let Some(probed) = answer {
+                self.found.push(probed);
+                until = until.min(Instant::now() + MORE_READINGS);
+            }
+        }
+    }
+
+    fn finish(mut self) -> Vec<Probed> {
+        self.receiver.close();
+        while let Ok(late) = self.receiver.try_recv() {
+            self.found.extend(late);
+        }
+        self.found
     }
-    (found, candidates.len())
 }
 
 /// Whether asking more upstreams is not worth it: one is idle at its usual
@@ -307,39 +363,37 @@
         || (found.len() > 1 && found.iter().any(is_in_time))
 }
 
-/// Asks one upstream; its connection is kept also where the answer comes late.
+/// Asks one upstream for its load.
 async fn probe_one<P: Platform>(
     gateway: Arc<Gateway<P>>,
     upstream: Arc<Upstream>,
     link: Arc<Link>,
     health_path: Arc<str>,
     nearness: Nearness,
-    sender: mpsc::Sender<Probed>,
-) {
+) -> Option<Probed> {
     let names = gateway.platform.headers();
-    match link.probe(names, &health_path, &gateway.meters).await {
-        Ok((connection, reading)) => {
-            let is_near = upstream.report.data_centre == gateway.settings().data_centre;
-            let is_cold = reading.cold_left_ms > 0;
-            let mut cost = cost(&reading, nearness, is_near);
-            if is_cold {
-                cost *= COLD_COST;
-            }
-            let probed = Probed {
-                upstream,
-                link,
-                connection,
-                reading,
-                read_at: Instant::now(),
-                cost,
-                is_cold,
-            };
-            if let Err(late) = sender.send(probed).await {
-                late.0.link.give_back(late.0.connection);
-            }
+    let (connection, reading) = match link.probe(names, &health_path, &gateway.meters).await {
+        Ok(probed) => probed,
+        Err(error) => {
+            on_failed_probe(&gateway, &link, &error);
+            return None;
         }
-        Err(error) => on_failed_probe(&gateway, &link, &error),
+    };
+    let is_near = upstream.report.data_centre == gateway.settings().data_centre;
+    let is_cold = reading.cold_left_ms > 0;
+    let mut cost = cost(&reading, nearness, is_near);
+    if is_cold {
+        cost *= COLD_COST;
     }
+    Some(Probed {
+        upstream,
+        link,
+        connection,
+        reading,
+        read_at: Instant::now(),
+        cost,
+        is_cold,
+    })
 }
 
 fn on_failed_probe<P: Platform>(gateway: &Gateway<P>, link: &Link, error: &ProbeError) {
@@ -354,20 +408,6 @@
     }
 }
 
-async fn collect(mut receiver: mpsc::Receiver<Probed>) -> Vec<Probed> {
-    let mut probed = Vec::new();
-    let mut until = Instant::now() + FIRST_READING;
-    while let Ok(Some(found)) = timeout_at(until, receiver.recv()).await {
-        probed.push(found);
-        until = until.min(Instant::now() + MORE_READINGS);
-    }
-    receiver.close();
-    while let Ok(late) = receiver.try_recv() {
-        probed.push(late);
-    }
-    probed
-}
-
 /// Takes the cheapest upstream that may get a request now out of the list.
 fn take_best<P: Platform>(
     gateway: &Gateway<P>,
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -357,3 +357,19 @@
         expect_that!(body(&outcome), eq(b"good"));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_silent_upstream_holds_a_request_for_moments_only() {
+    let silent = Upstream::start("silent", NOW).await;
+    silent.set_probe_time(Duration::from_mins(1));
+    let good = Upstream::start("good", NOW).await;
+
+    for _ in 0..8 {
+        let gateway = gateway_to(&[&silent, &good], &unsafe_route());
+        let began = Instant::now();
+        let outcome = forward(&gateway, &call(&unsafe_route())).await;
+        expect_that!(body(&outcome), eq(b"good"));
+        expect_that!(began.elapsed(), lt(Duration::from_millis(200)));
+    }
+}
