--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,14 +1,12 @@
 //! The settings of the gateway, read once and checked as a whole.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 
-use thiserror::Error;
-
 use super::view::Instance;
 use crate::decision::repeats::RepeatBound;
-use crate::version::reader::{Fields, Placed, Problem, Reader};
+use crate::version::reader::{self, Fields, Placed, Problem, Reader, SettingsError};
 
 /// Largest memory limit that is believed, in megabytes.
 const MEMORY_MAX_MB: u64 = 1 << 20;
@@ -50,38 +48,13 @@
     pub log_filter: Arc<str>,
 }
 
-/// Why there are no settings.
-#[derive(Debug, Error)]
-pub enum SettingsError {
-    /// The file cannot be read.
-    #[error("the settings file {path} cannot be read: {error}; name an existing file")]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// What the system says.
-        error: std::io::Error,
-    },
-    /// The file has faults.
-    #[error("the settings have faults: {}", join(.0))]
-    Faulty(Vec<Problem>),
-}
-
-fn join(problems: &[Problem]) -> String {
-    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
-    lines.join("; ")
-}
-
 impl Settings {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     /// Where it cannot be read or has faults; all of them are named.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
-            path: path.to_owned(),
-            error,
-        })?;
-        Self::parse(&text, &path.display().to_string()).map_err(SettingsError::Faulty)
+        reader::load(path, read)
     }
 
     /// This instance as others know it.
@@ -98,17 +71,7 @@
     /// # Errors
     /// Every fault of the text.
     pub fn parse(text: &str, source: &str) -> Result<Self, Vec<Problem>> {
-        let mut reader = Reader::new(text, source);
-        let settings = reader.root().and_then(|mut fields| {
-            let settings = read(&mut reader, &mut fields);
-            fields.finish(&mut reader);
-            settings
-        });
-        let problems = reader.into_problems();
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(problems),
-        }
+        reader::parse(text, source, read)
     }
 }
 
--- a/src/process/config.rs
+++ b/src/process/config.rs
@@ -1,13 +1,11 @@
 //! The settings of a daemon, read once and checked as a whole.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 
+use crate::version::reader::{self, Fields, Placed, Problem, Reader, SettingsError};
 use strum::{Display, EnumString};
-use thiserror::Error;
-
-use crate::version::reader::{Fields, Placed, Problem, Reader};
 
 /// Shortest secret that signs contexts, in bytes.
 const SECRET_MIN_BYTES: usize = 16;
@@ -53,44 +51,13 @@
     pub worker_threads: usize,
 }
 
-/// Why there is no configuration.
-#[derive(Debug, Error)]
-pub enum ConfigError {
-    /// The file cannot be read.
-    #[error("the settings file {path} cannot be read: {error}; name an existing file")]
-    Unreadable {
-        /// The file.
-        path: PathBuf,
-        /// What the system says.
-        error: std::io::Error,
-    },
-    /// The file has faults.
-    #[error("the settings have faults:\n{}", join(.0))]
-    Faulty(Vec<Problem>),
-}
-
-fn join(problems: &[Problem]) -> String {
-    let mut text = String::new();
-    for problem in problems {
-        if !text.is_empty() {
-            text.push('\n');
-        }
-        text.push_str(&problem.to_string());
-    }
-    text
-}
-
 impl Config {
     /// Reads and checks a settings file.
     ///
     /// # Errors
     /// Where it cannot be read or has faults; all of them are named.
-    pub fn load(path: &Path) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Unreadable {
-            path: path.to_owned(),
-            error,
-        })?;
-        Self::parse(&text, &path.display().to_string()).map_err(ConfigError::Faulty)
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        reader::load(path, read)
     }
 
     /// Checks the text of a settings file.
@@ -98,17 +65,7 @@
     /// # Errors
     /// Every fault of the text.
     pub fn parse(text: &str, source: &str) -> Result<Self, Vec<Problem>> {
-        let mut reader = Reader::new(text, source);
-        let config = reader.root().and_then(|mut fields| {
-            let config = read(&mut reader, &mut fields);
-            fields.finish(&mut reader);
-            config
-        });
-        let problems = reader.into_problems();
-        match config {
-            Some(config) if problems.is_empty() => Ok(config),
-            _ => Err(problems),
-        }
+        reader::parse(text, source, read)
     }
 }
 
--- a/src/version/reader.rs
+++ b/src/version/reader.rs
@@ -1,11 +1,13 @@
 //! Reads JSON with comments and collects every problem with its line.
 
 use std::fmt;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use jsonc_parser::ast::{Object, ObjectProp, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use thiserror::Error;
 
 /// One fault in a text, with the place and what to do about it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +26,60 @@
     }
 }
 
+/// Why a file of settings is not used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("the settings file {path} cannot be read: {error}; name an existing file")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// The file has faults.
+    #[error("the settings have faults:\n{}", join(.0))]
+    Faulty(Vec<Problem>),
+}
+
+fn join(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    lines.join("\n")
+}
+
+/// Reads and checks a file whose root object `read` understands.
+///
+/// # Errors
+/// Where it cannot be read or has faults; all of them are named.
+pub fn load<T>(path: &Path, read: ReadRoot<T>) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+        path: path.to_owned(),
+        error,
+    })?;
+    parse(&text, &path.display().to_string(), read).map_err(SettingsError::Faulty)
+}
+
+/// Reads a whole value from the fields of the root object.
+pub type ReadRoot<T> = fn(&mut Reader<'_>, &mut Fields<'_>) -> Option<T>;
+
+/// Checks a text whose root object `read` understands.
+///
+/// # Errors
+/// Every fault of the text.
+pub fn parse<T>(text: &str, source: &str, read: ReadRoot<T>) -> Result<T, Vec<Problem>> {
+    let mut reader = Reader::new(text, source);
+    let value = reader.root().and_then(|mut fields| {
+        let value = read(&mut reader, &mut fields);
+        fields.finish(&mut reader);
+        value
+    });
+    let problems = reader.into_problems();
+    match value {
+        Some(value) if problems.is_empty() => Ok(value),
+        _ => Err(problems),
+    }
+}
+
 /// Collects problems while a text is read.
 #[derive(Debug)]
 pub struct Reader<'t> {
