Bound the memory that bodies of requests take

Cause: memory_limit_mb was read and not used; bodies up to the users' limit of 64 MB each could end a process of 260 MB. Change: a quarter of the memory for bodies; what does not fit is refused as not run, with a time to return. Test: stopping::bodies_beyond_the_memory_are_refused_as_not_run.

--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -1,9 +1,11 @@
 //! A caller's request, checked and read whole.
 
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::HOST;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -17,8 +19,63 @@
 /// Time after which a caller without a configured route may return.
 const NO_MANIFEST_RETURN_MS: u64 = 300;
 
+/// Time after which a caller may return that came while bodies filled the
+/// memory.
+const MEMORY_RETURN_MS: u64 = 300;
+
+/// Memory that the bodies of all requests may take.
+#[derive(Debug)]
+pub struct BodyMemory {
+    most_bytes: usize,
+    held_bytes: AtomicUsize,
+}
+
+impl BodyMemory {
+    /// Memory for so many bytes.
+    #[must_use]
+    pub fn new(most_bytes: usize) -> Arc<Self> {
+        Arc::new(Self {
+            most_bytes,
+            held_bytes: AtomicUsize::new(0),
+        })
+    }
+}
+
+/// The part of that memory that one request holds.
+#[derive(Debug)]
+pub struct BodyShare {
+    memory: Arc<BodyMemory>,
+    bytes: usize,
+}
+
+impl BodyShare {
+    /// An empty part.
+    #[must_use]
+    pub fn new(memory: &Arc<BodyMemory>) -> Self {
+        Self {
+            memory: Arc::clone(memory),
+            bytes: 0,
+        }
+    }
+
+    /// Takes more; false if there is not enough.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let held = self.memory.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        held + bytes <= self.memory.most_bytes
+    }
+}
+
+impl Drop for BodyShare {
+    fn drop(&mut self) {
+        self.memory
+            .held_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// A request on its way to an upstream.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Call {
     /// Id that the caller gave it, if any.
     pub id: Option<HeaderValue>,
@@ -30,6 +87,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub share: BodyShare,
     /// How it is served.
     pub route: Arc<Route>,
     /// Version that the route is from.
@@ -80,6 +139,7 @@
     request: Request<Incoming>,
     manifest: Option<&Arc<Manifest>>,
     names: &HeaderNames,
+    memory: &Arc<BodyMemory>,
 ) -> Result<Call, Outcome> {
     let arrived = Instant::now();
     let Some(manifest) = manifest else {
@@ -92,7 +152,7 @@
     let Some(route) = manifest.route(host, path) else {
         return Err(Outcome::own(Reason::NoRoute));
     };
-    let body = read_body(body, manifest.limits.body_bytes).await?;
+    let (body, share) = read_body(body, manifest.limits.body_bytes, memory).await?;
     let caller_ms = number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let target = head
@@ -112,6 +172,7 @@
         target,
         headers,
         body,
+        share,
         route: Arc::clone(route),
         version: manifest.version,
         arrived,
@@ -119,12 +180,28 @@
     })
 }
 
-async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, Outcome> {
-    match Limited::new(body, limit_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Outcome::own(Reason::BodyTooLong)),
-        Err(_) => Err(Outcome::own(Reason::BadRequest)),
+async fn read_body(
+    body: Incoming,
+    limit_bytes: usize,
+    memory: &Arc<BodyMemory>,
+) -> Result<(Bytes, BodyShare), Outcome> {
+    let mut share = BodyShare::new(memory);
+    let mut body = pin!(Limited::new(body, limit_bytes));
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let data = match frame {
+            Ok(frame) => frame.into_data().unwrap_or_default(),
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(Outcome::own(Reason::BodyTooLong));
+            }
+            Err(_) => return Err(Outcome::own(Reason::BadRequest)),
+        };
+        if !share.grow(data.len()) {
+            return Err(Outcome::refused(Reason::Overloaded, MEMORY_RETURN_MS));
+        }
+        whole.extend_from_slice(&data);
     }
+    Ok((whole.freeze(), share))
 }
 
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -274,7 +274,7 @@
     }
     let manifest = gateway.manifest();
     let names = gateway.platform.headers();
-    match calls::read(request, manifest.as_ref(), names).await {
+    match calls::read(request, manifest.as_ref(), names, &gateway.bodies).await {
         Ok(call) => forward(gateway, &call).await,
         Err(outcome) => outcome,
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
-use super::calls::to_ms;
+use super::calls::{BodyMemory, to_ms};
 use super::lines::LineBudget;
 use super::links::Links;
 use super::meters::Meters;
@@ -43,6 +43,10 @@
     pub bytes: f64,
 }
 
+/// Part of the memory, as one in so many, that bodies of requests may take; each
+/// may stand in a buffer of the connection, too.
+const BODY_PART: usize = 4;
+
 /// State of the process.
 #[derive(Debug)]
 pub struct Gateway<P> {
@@ -53,6 +57,8 @@
     pub meters: Meters,
     /// Bound on lines about requests.
     pub lines: LineBudget,
+    /// Memory that the bodies of requests may take.
+    pub bodies: Arc<BodyMemory>,
     /// Connections to upstreams.
     pub links: Links,
     /// Told when a call to the store has failed, so that all followers check
@@ -81,11 +87,14 @@
     /// A process that knows nothing yet.
     #[must_use]
     pub fn new(platform: P, settings: Settings) -> Arc<Self> {
+        let memory_bytes = settings.memory_limit_mb.saturating_mul(1 << 20);
+        let body_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX) / BODY_PART;
         Arc::new(Self {
             platform,
             settings: ArcSwap::from_pointee(settings),
             meters: Meters::new(),
             lines: LineBudget::new(),
+            bodies: BodyMemory::new(body_bytes),
             links: Links::default(),
             store_doubt: Notify::new(),
             long_read_began: Notify::new(),
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use chicorywing::decision::directory::UpstreamState;
 use chicorywing::decision::manifest::Route;
-use chicorywing::gateway::calls::Call;
+use chicorywing::gateway::calls::{BodyMemory, BodyShare, Call};
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::{Outcome, Reason};
 use chicorywing::gateway::state::Gateway;
@@ -52,6 +52,7 @@
         target: "/path?query".to_owned(),
         headers,
         body: Bytes::from_static(b"body"),
+        share: BodyShare::new(&BodyMemory::new(1_000)),
         route: Arc::new(route.clone()),
         version: 1,
         arrived,
--- a/tests/gateway/stopping.rs
+++ b/tests/gateway/stopping.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
-use super::fake::{FakePlatform, FakeStore, gateway, manifest, report, route, within};
+use super::fake::{FakePlatform, FakeStore, gateway, manifest, report, route, settings, within};
 use super::upstream::{Act, Upstream};
 
 const LIMIT: Duration = Duration::from_secs(10);
@@ -222,3 +222,42 @@
     expect_that!(while_ready, starts_with("HTTP/1.1 200"));
     expect_that!(stopping, starts_with("HTTP/1.1 503"));
 }
+
+#[gtest]
+#[tokio::test]
+async fn bodies_beyond_the_memory_are_refused_as_not_run() {
+    let upstream = Upstream::start("up-1", Act::Serve(Duration::from_millis(300))).await;
+    let store = FakeStore::new();
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut settings = settings("gate-1", peer, &[]);
+    // A quarter of a megabyte for bodies.
+    settings.memory_limit_mb = 1;
+    let gateway = Gateway::new(FakePlatform::new(&store), settings);
+    {
+        let mut view = gateway.view();
+        let mut manifest = manifest(1, &[route()]);
+        manifest.limits.body_bytes = 1 << 20;
+        view.manifest = Some(Arc::new(manifest));
+        let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
+        view.directory.put(report, 0);
+    }
+    let served = serve_by(gateway).await;
+    let post = |bytes: usize| {
+        let head = "POST /x HTTP/1.1\r\nhost: h.example\r\nt-id: i\r\ncontent-length:";
+        format!("{head} {bytes}\r\n\r\n{}", "x".repeat(bytes))
+    };
+    let mut first = TcpStream::connect(served.address).await.unwrap();
+    first.write_all(post(200_000).as_bytes()).await.unwrap();
+    within(LIMIT, "it runs", || upstream.runs().len() == 1).await;
+
+    let mut second = TcpStream::connect(served.address).await.unwrap();
+    let refused = ask(&mut second, &post(100_000)).await;
+    let answer = read_answer(&mut first).await;
+    let mut third = TcpStream::connect(served.address).await.unwrap();
+    let later = ask(&mut third, &post(100_000)).await;
+
+    expect_that!(refused, starts_with("HTTP/1.1 503"));
+    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    expect_that!(later, starts_with("HTTP/1.1 200"));
+    expect_that!(upstream.runs().len(), eq(2));
+}
