Begin to read the store by a short read, and doubt it when a check is slow

Ruled out by test: standing reads that began before (they were in doubt already). A settings file is taken in once for each change. Tests: following::an_instance_that_becomes_a_reader_of_a_slow_store_misses_nothing, following::a_store_that_turned_slow_is_read_by_short_reads, both failing before.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -98,6 +98,10 @@
     let mut is_in_doubt = false;
     let mut is_after_news = false;
     loop {
+        if !*role.borrow() {
+            // The store may be slow or away by the time of the next read.
+            is_in_doubt = true;
+        }
         if !wait_for_role(&mut role, true).await {
             return;
         }
@@ -180,9 +184,13 @@
     loop {
         gateway.long_read_began.notified().await;
         sleep(CHECK_AFTER).await;
+        let began = Instant::now();
         match step(&gateway, Stream::Orders, true, Duration::ZERO).await {
             Ok(records) => {
                 gateway.meters.on_store_call(true);
+                if began.elapsed() > USUAL_ANSWER {
+                    gateway.store_doubt.notify_waiters();
+                }
                 gateway.take_in(Stream::Orders, records, true, "store");
             }
             Err(error) => {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -139,13 +139,18 @@
     mut hang_up: Signal,
 ) {
     let mut refused = String::new();
+    let mut taken = gateway.settings();
     loop {
         tokio::select! {
             _ = hang_up.recv() => tracing::info!("reading the settings anew after a signal"),
             () = sleep(SETTINGS_INTERVAL) => {}
         }
         match Settings::load(&path) {
-            Ok(settings) => gateway.replace_settings(&settings),
+            Ok(settings) if settings == *taken => {}
+            Ok(settings) => {
+                gateway.replace_settings(&settings);
+                taken = Arc::new(settings);
+            }
             Err(error) => {
                 let error = error.to_string();
                 if error != refused {
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -103,6 +103,45 @@
     within(bound, "version 2", || version(&gateway) == 2).await;
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_becomes_a_reader_of_a_slow_store_misses_nothing() {
+    let store = FakeStore::new();
+    let gateway = following(&store).await;
+    gateway.set_role(false, "the test");
+    sleep(Duration::from_secs(3)).await;
+    store.set(Mode::Slow);
+
+    gateway.set_role(true, "the test");
+    sleep(Duration::from_millis(1_500)).await;
+    store.write_unseen(Stream::Orders, "config", Some("2"));
+    sleep(Duration::from_millis(200)).await;
+    store.set(Mode::Well);
+
+    let bound = CALM + CONFIG_BOUND;
+    within(bound, "version 2", || version(&gateway) == 2).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_store_that_turned_slow_is_read_by_short_reads() {
+    let store = FakeStore::new();
+    let gateway = following(&store).await;
+    store.write(Stream::Orders, "config", Some("2"));
+    within(CONFIG_BOUND, "version 2", || version(&gateway) == 2).await;
+    // Between the start of the next long read and its check.
+    sleep(Duration::from_millis(350)).await;
+    store.set(Mode::Slow);
+
+    sleep(Duration::from_millis(1_500)).await;
+    store.write_unseen(Stream::Orders, "config", Some("3"));
+    sleep(Duration::from_millis(200)).await;
+    store.set(Mode::Well);
+
+    let bound = CALM + CONFIG_BOUND;
+    within(bound, "version 3", || version(&gateway) == 3).await;
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_calm_store_is_called_seldom() {
