--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -57,8 +57,9 @@
     }
 }
 
+/// One stream as this instance knows it.
 #[derive(Clone, Debug, Default)]
-struct Copy {
+struct StreamCopy {
     records: BTreeMap<Arc<str>, (u64, Option<Vec<u8>>)>,
     next: u64,
 }
@@ -74,9 +75,9 @@
     pub out: BTreeSet<Arc<str>>,
     /// Instances by name.
     pub instances: BTreeMap<Arc<str>, Instance>,
-    orders: Copy,
-    upstreams: Copy,
-    instance_records: Copy,
+    orders: StreamCopy,
+    upstreams: StreamCopy,
+    instance_records: StreamCopy,
 }
 
 impl View {
@@ -255,7 +256,7 @@
         Ok(is_news.then_some(Event::Instance(name)))
     }
 
-    fn copy(&self, stream: Stream) -> &Copy {
+    fn copy(&self, stream: Stream) -> &StreamCopy {
         match stream {
             Stream::Orders => &self.orders,
             Stream::Upstreams => &self.upstreams,
@@ -263,7 +264,7 @@
         }
     }
 
-    fn copy_mut(&mut self, stream: Stream) -> &mut Copy {
+    fn copy_mut(&mut self, stream: Stream) -> &mut StreamCopy {
         match stream {
             Stream::Orders => &mut self.orders,
             Stream::Upstreams => &mut self.upstreams,
@@ -272,7 +273,7 @@
     }
 }
 
-impl Copy {
+impl StreamCopy {
     fn forget_taken_out(&mut self) {
         let mut taken_out: Vec<(u64, Arc<str>)> = Vec::new();
         for (key, (offset, value)) in &self.records {
