Take an upstream whose cold time cannot be read for a cold one

Cause: found on reading the change again: a cold time that could not be read became 0 without a line, so the upstream counted as warm; an unreadable load became untold without a line. RunError stood twice. Change: both are logged, the first counts as cold; one RunError. Test: calls::an_upstream_whose_cold_time_cannot_be_read_counts_as_cold, failing before.

--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -25,6 +25,8 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 /// Idle connections that are kept to one upstream.
 const IDLE_MAX: usize = 3;
+/// Cold time of an upstream that tells one that cannot be read; any above zero.
+const COLD_UNREADABLE_MS: u64 = 1;
 /// Figures of a load header that must be there.
 const LOAD_FIGURES: usize = 3;
 
@@ -208,13 +210,32 @@
             return Err(ProbeError::OtherUpstream);
         }
         Ok(Reading {
-            load: text(&answer.headers, &names.load).and_then(parse_load),
-            cold_left_ms: text(&answer.headers, &names.cold_left_ms)
-                .and_then(|text| text.parse().ok())
-                .unwrap_or(0),
+            load: self.read_load(names, &answer.headers),
+            cold_left_ms: self.read_cold_left_ms(names, &answer.headers),
             is_healthy: answer.status.is_success(),
         })
     }
+
+    fn read_load(&self, names: &HeaderNames, headers: &HeaderMap) -> Option<Load> {
+        let told = headers.get(&names.load)?;
+        let load = told.to_str().ok().and_then(parse_load);
+        if load.is_none() {
+            tracing::warn!(upstream = %self.id, ?told, "the load cannot be read; taken as untold");
+        }
+        load
+    }
+
+    /// An upstream whose cold time cannot be read counts as cold.
+    fn read_cold_left_ms(&self, names: &HeaderNames, headers: &HeaderMap) -> u64 {
+        let Some(told) = headers.get(&names.cold_left_ms) else {
+            return 0;
+        };
+        let left_ms = told.to_str().ok().and_then(|text| text.trim().parse().ok());
+        left_ms.unwrap_or_else(|| {
+            tracing::warn!(upstream = %self.id, ?told, "the cold time cannot be read");
+            COLD_UNREADABLE_MS
+        })
+    }
 }
 
 fn text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -16,6 +15,7 @@
 use super::state::Gateway;
 use super::store::{Platform, Stream};
 use super::{follower, relay, sharing};
+use crate::process::run::RunError;
 
 /// Time for which a stopping instance still takes connections: the balancer
 /// asks once a second and needs two answers.
@@ -33,22 +33,6 @@
 /// Interval between looks at the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Why the gateway did not run.
-#[derive(Debug, Error)]
-pub enum RunError {
-    /// An address cannot be bound.
-    #[error("cannot listen at {address}: {error}; free it or set another")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// What the system says.
-        error: std::io::Error,
-    },
-    /// Signals cannot be followed.
-    #[error("cannot follow signals: {0}; see the limits of the system")]
-    Signals(std::io::Error),
-}
-
 /// Runs until a signal asks for a planned stop, and finishes it.
 ///
 /// # Errors
--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -297,21 +297,31 @@
     );
 }
 
-#[gtest]
-#[tokio::test]
-async fn a_cold_upstream_gets_one_request_in_its_interval() {
+/// How many of five requests reach an upstream that tells this cold time.
+async fn runs_at_cold(cold_ms: &str) -> usize {
     let cold = Upstream::start("cold", NOW).await;
-    cold.set_cold(3_000);
+    cold.set_cold(cold_ms);
     let gateway = gateway_to(&[&cold], &unsafe_route());
     let mut refused = 0;
-
     for _ in 0..5 {
         let outcome = forward(&gateway, &call(&unsafe_route())).await;
         refused += usize::from(reason(&outcome) == Some(Reason::NoRoom));
     }
+    assert_eq!(cold.runs().len() + refused, 5);
+    cold.runs().len()
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_cold_upstream_gets_one_request_in_its_interval() {
+    expect_that!(runs_at_cold("3000").await, eq(1));
+    expect_that!(runs_at_cold("0").await, eq(5));
+}
 
-    expect_that!(cold.runs().len(), eq(1));
-    expect_that!(refused, eq(4));
+#[gtest]
+#[tokio::test]
+async fn an_upstream_whose_cold_time_cannot_be_read_counts_as_cold() {
+    expect_that!(runs_at_cold("soon").await, eq(1));
 }
 
 #[gtest]
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -35,7 +35,7 @@
 struct State {
     act: Act,
     load: String,
-    cold_ms: u64,
+    cold_ms: String,
     probe_time: Duration,
     closes_after_probe: bool,
     is_ill: bool,
@@ -61,7 +61,7 @@
             state: Arc::new(Mutex::new(State {
                 act,
                 load: "0,0,2,100".to_owned(),
-                cold_ms: 0,
+                cold_ms: "0".to_owned(),
                 probe_time: Duration::ZERO,
                 closes_after_probe: false,
                 is_ill: false,
@@ -84,8 +84,8 @@
         load.clone_into(&mut self.state.lock().unwrap().load);
     }
 
-    pub fn set_cold(&self, cold_ms: u64) {
-        self.state.lock().unwrap().cold_ms = cold_ms;
+    pub fn set_cold(&self, cold_ms: &str) {
+        cold_ms.clone_into(&mut self.state.lock().unwrap().cold_ms);
     }
 
     pub fn set_probe_time(&self, time: Duration) {
@@ -122,7 +122,7 @@
                 let (text, time, closes) = {
                     let mut state = self.state.lock().unwrap();
                     state.probes += 1;
-                    let (load, cold_ms) = (state.load.clone(), state.cold_ms);
+                    let (load, cold_ms) = (state.load.clone(), state.cold_ms.clone());
                     let id = id_line(&head);
                     let closes = state.closes_after_probe;
                     let close = if closes { "connection: close\r\n" } else { "" };
