Ask for list and version anew after a standstill of the process

Cause: a_frozen_entry_sends_nothing_when_it_goes_on failed once beside load. When an entry goes on after five seconds, its read of the log has timed out and pauses for 250 to 500 ms, while the list is read within milliseconds; from then on the fence lets work pass, though a data centre may have been taken out meanwhile. Only the list's age counted. Answers that had waited in a socket counted as fresh, too. Ruled out: the held calls themselves; each is checked when it is read, and fails while the list is old. The race needs the list's answer before a call is read. Change: questions are dated by when they were asked; a standstill is noticed by ticks, and after it both list and version must have been asked for anew, the version of the log or of a peer. A greeting that came in no longer counts as a contact, since it may have waited.

--- a/src/process/fence.rs
+++ b/src/process/fence.rs
@@ -8,17 +8,26 @@
 const LOOK_LIFE_MS: u64 = 1_500;
 /// Silence of all other processes after which an instance is isolated.
 pub const ISOLATION_MS: u64 = 3_000;
+/// Interval between ticks that show that the process runs.
+pub const TICK_MS: u64 = 100;
+/// Silence of the ticks that is taken for a standstill of the process; ten
+/// ticks, so that a busy processor is not taken for one.
+const STANDSTILL_MS: u64 = 1_000;
 
 /// When the instance last heard of what.
 ///
-/// Times are those of the runtime's clock. A process that was frozen finds
-/// all of them old when it goes on, and so starts nothing before it has
-/// looked again.
+/// Times are those of the runtime's clock, and of the question, not of its
+/// answer: an answer may have waited while the process was frozen. After a
+/// standstill the process starts nothing before it has asked for both the list
+/// and the version in force anew.
 #[derive(Debug, Default)]
 pub struct Fence {
     list_ms: AtomicU64,
     look_ms: AtomicU64,
     contact_ms: AtomicU64,
+    version_ms: AtomicU64,
+    tick_ms: AtomicU64,
+    went_on_ms: AtomicU64,
 }
 
 impl Fence {
@@ -28,14 +37,45 @@
         self.list_ms.fetch_max(seen_ms, Ordering::Relaxed);
     }
 
-    /// The list was asked and gave no answer.
-    pub fn on_look(&self, now_ms: u64) {
-        self.look_ms.fetch_max(now_ms, Ordering::Relaxed);
+    /// The list was asked at `asked_ms` and gave no answer.
+    pub fn on_look(&self, asked_ms: u64) {
+        self.look_ms.fetch_max(asked_ms, Ordering::Relaxed);
     }
 
-    /// The log, the list or a peer answered.
-    pub fn on_contact(&self, now_ms: u64) {
-        self.contact_ms.fetch_max(now_ms, Ordering::Relaxed);
+    /// The log, the list or a peer answered what it was asked at `asked_ms`.
+    pub fn on_contact(&self, asked_ms: u64) {
+        self.contact_ms.fetch_max(asked_ms, Ordering::Relaxed);
+    }
+
+    /// The version in force is at least what the log or a peer had at
+    /// `asked_ms`.
+    pub fn on_version(&self, asked_ms: u64) {
+        self.version_ms.fetch_max(asked_ms, Ordering::Relaxed);
+    }
+
+    /// The process runs; `true` if it has stood still before.
+    pub fn on_tick(&self, now_ms: u64) -> bool {
+        let has_stood_still = self.is_standstill(now_ms);
+        if has_stood_still {
+            self.went_on_ms.store(now_ms, Ordering::Relaxed);
+        }
+        self.tick_ms.store(now_ms, Ordering::Relaxed);
+        has_stood_still
+    }
+
+    fn is_standstill(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.tick_ms.load(Ordering::Relaxed)) > STANDSTILL_MS
+    }
+
+    /// Whether list and version have been asked for since the last standstill.
+    fn has_caught_up(&self, now_ms: u64) -> bool {
+        let went_on_ms = self.went_on_ms.load(Ordering::Relaxed);
+        let list_ms = self.list_ms.load(Ordering::Relaxed);
+        let look_ms = self.look_ms.load(Ordering::Relaxed);
+        let version_ms = self.version_ms.load(Ordering::Relaxed);
+        !self.is_standstill(now_ms)
+            && list_ms.max(look_ms) >= went_on_ms
+            && version_ms >= went_on_ms
     }
 
     /// Age of the copy of the list.
@@ -56,7 +96,7 @@
     /// now in vain while others still answer it.
     #[must_use]
     pub fn may_send(&self, now_ms: u64) -> bool {
-        if self.is_isolated(now_ms) {
+        if self.is_isolated(now_ms) || !self.has_caught_up(now_ms) {
             return false;
         }
         let look_age_ms = now_ms.saturating_sub(self.look_ms.load(Ordering::Relaxed));
--- a/src/process/greeter.rs
+++ b/src/process/greeter.rs
@@ -80,11 +80,15 @@
 }
 
 async fn greet(node: &Arc<Node>, versions: &ActorRef<VersionActor>, address: SocketAddr) {
+    let asked_ms = node.clock.now_ms();
     match exchange(node, address).await {
         Ok(greeting) => {
-            node.fence.on_contact(node.clock.now_ms());
+            node.fence.on_contact(asked_ms);
             node.on_greeting(&greeting);
             catch_up(node, versions, address, &greeting).await;
+            if node.accepted.load().version >= greeting.version {
+                node.fence.on_version(asked_ms);
+            }
         }
         Err(error) => {
             let view = node.view();
@@ -116,7 +120,8 @@
     address: SocketAddr,
     greeting: &Greeting,
 ) {
-    let own_age_ms = node.fence.list_age_ms(node.clock.now_ms());
+    let asked_ms = node.clock.now_ms();
+    let own_age_ms = node.fence.list_age_ms(asked_ms);
     let has_version = greeting.version > node.accepted.load().version;
     let has_list = greeting
         .list_age_ms
@@ -135,12 +140,13 @@
         return;
     };
     if let Some(text) = snapshot.list.clone().filter(|_| has_list)
-        && let Err(error) = take_from_peer(node, text, snapshot.list_age_ms)
+        && let Err(error) = take_from_peer(node, text, snapshot.list_age_ms, asked_ms)
     {
         tracing::warn!(target: "list", %error, "a peer's copy of the list");
     }
     if has_version {
-        let _ = versions.tell(Adopt(snapshot)).await;
+        // The actor ends only with the process.
+        let _ = versions.ask(Adopt(snapshot)).await;
     }
 }
 
--- a/src/process/listing.rs
+++ b/src/process/listing.rs
@@ -16,18 +16,18 @@
 pub async fn follow(node: Arc<Node>) {
     let mut client = ListClient::new(&node.config.list_url);
     loop {
+        let asked_ms = node.clock.now_ms();
         let answer = client.read().await;
-        let now_ms = node.clock.now_ms();
         match answer {
             Ok(text) => {
-                node.fence.on_contact(now_ms);
-                node.fence.on_list(now_ms, 0);
+                node.fence.on_contact(asked_ms);
+                node.fence.on_list(asked_ms, 0);
                 if let Some(text) = text {
                     take(&node, text);
                 }
             }
             Err(error) => {
-                node.fence.on_look(now_ms);
+                node.fence.on_look(asked_ms);
                 tracing::debug!(target: "list", %error, "no list");
             }
         }
@@ -37,17 +37,22 @@
     }
 }
 
-/// Takes a copy that a peer read `age_ms` ago, if it is fresher.
+/// Takes a copy that a peer had read `age_ms` before it was asked for it at
+/// `asked_ms`, if it is fresher.
 ///
 /// # Errors
 /// Where the copy cannot be read.
-pub fn take_from_peer(node: &Node, text: Arc<str>, age_ms: u64) -> Result<(), ListError> {
-    let now_ms = node.clock.now_ms();
-    if age_ms >= node.fence.list_age_ms(now_ms) && node.list.load().is_some() {
+pub fn take_from_peer(
+    node: &Node,
+    text: Arc<str>,
+    age_ms: u64,
+    asked_ms: u64,
+) -> Result<(), ListError> {
+    if age_ms >= node.fence.list_age_ms(asked_ms) && node.list.load().is_some() {
         return Ok(());
     }
     InstanceList::parse(&text)?;
-    node.fence.on_list(now_ms, age_ms);
+    node.fence.on_list(asked_ms, age_ms);
     take(node, text);
     Ok(())
 }
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -107,6 +107,8 @@
     pub decisions: Decisions,
     /// Wakes the greeter before its time.
     pub greet_now: Notify,
+    /// Wakes the reader of the log after a standstill of the process.
+    pub went_on: Notify,
     /// Wakes those who follow the view, the list or the objects.
     pub changed: watch::Sender<u64>,
     members: Mutex<Members>,
@@ -143,6 +145,7 @@
             metrics,
             decisions: Decisions::default(),
             greet_now: Notify::new(),
+            went_on: Notify::new(),
             changed: watch::Sender::new(0),
             members: Mutex::new(Members::new(Arc::clone(&me))),
             hints: Mutex::default(),
--- a/src/process/peer_server.rs
+++ b/src/process/peer_server.rs
@@ -29,9 +29,6 @@
 
 impl Peer for PeerServer {
     async fn greet(self, _: context::Context, greeting: Greeting) -> Greeting {
-        if !greeting.hearsay.is_empty() {
-            self.node.fence.on_contact(self.node.clock.now_ms());
-        }
         self.node.on_greeting(&greeting);
         self.node.greeting()
     }
--- a/src/process/run.rs
+++ b/src/process/run.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::config::Config;
+use super::fence::TICK_MS;
 use super::greeter::{greet_all, keep};
 use super::holder::start_held_pools;
 use super::keyed::teach;
@@ -93,6 +94,7 @@
 }
 
 fn start_followers(node: &Arc<Node>, versions: &ActorRef<VersionActor>) {
+    tokio::spawn(tick(Arc::clone(node)));
     tokio::spawn(listing::follow(Arc::clone(node)));
     tokio::spawn(versions::follow(Arc::clone(node), versions.clone()));
     tokio::spawn(keep(Arc::clone(node), versions.clone()));
@@ -100,6 +102,18 @@
     tokio::spawn(report_gauges(Arc::clone(node)));
 }
 
+/// Shows the fence that the process runs.
+async fn tick(node: Arc<Node>) {
+    loop {
+        if node.fence.on_tick(node.clock.now_ms()) {
+            tracing::warn!("the process has stood still; asking for list and version anew");
+            node.went_on.notify_one();
+            node.greet_now.notify_one();
+        }
+        sleep(Duration::from_millis(TICK_MS)).await;
+    }
+}
+
 /// Takes up new pools and passes keys on whenever the view changes.
 async fn follow_changes(node: Arc<Node>) {
     let mut changes = node.changed.subscribe();
--- a/src/process/versions.rs
+++ b/src/process/versions.rs
@@ -171,13 +171,25 @@
 pub async fn follow(node: Arc<Node>, versions: ActorRef<VersionActor>) {
     let log = LogClient::new(&node.config.log_url, STREAM);
     let mut from = 0;
+    let mut wait = READ_WAIT;
     loop {
-        match log.read(from, READ_WAIT).await {
+        let asked_ms = node.clock.now_ms();
+        let answer = tokio::select! {
+            answer = log.read(from, wait) => answer,
+            () = node.went_on.notified() => {
+                // What was asked before the standstill may be answered late.
+                wait = Duration::ZERO;
+                continue;
+            }
+        };
+        match answer {
             Ok(page) => {
-                node.fence.on_contact(node.clock.now_ms());
+                node.fence.on_contact(asked_ms);
                 let Ok(next) = versions.ask(Read(page)).await else {
                     return;
                 };
+                node.fence.on_version(asked_ms);
+                wait = READ_WAIT;
                 from = next;
                 write_snapshot(&node, &versions, &log).await;
             }
--- a/tests/fleet/scenarios.rs
+++ b/tests/fleet/scenarios.rs
@@ -305,6 +305,33 @@
     expect_that!(env.ledger.runs_at("up-0"), eq(before));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_asks_a_slow_log_before_it_sends_again() {
+    let env = TestEnv::start(3, &[upstream("a"), upstream("b")]).await;
+    let holder = env.holder("a").await.unwrap();
+    env.freeze(&format!("entry-{holder}")).await;
+    env.cli(&["out", "a", "--log", &env.log_url()]).await;
+    // Longer than a read of the log may take, so that its answer is lost.
+    sleep(Duration::from_secs(6)).await;
+    env.control("log", json!({ "delay_ms": 1_000 })).await;
+    for entry in (0..3).filter(|entry| *entry != holder) {
+        env.freeze(&format!("entry-{entry}")).await;
+    }
+    let before = env.ledger.runs_at("up-0");
+
+    env.resume(&format!("entry-{holder}")).await;
+    let resumed = Instant::now();
+    while resumed.elapsed() < Duration::from_millis(900) {
+        let request = env.request(Method::GET, holder, "/after");
+        let request = request.timeout(Duration::from_millis(100));
+        read(request.send().await).await;
+        sleep(Duration::from_millis(5)).await;
+    }
+
+    expect_that!(env.ledger.runs_at("up-0"), eq(before));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_holder_costs_lookups_less_than_a_second() {
