--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -18,8 +18,9 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Wait after which an unanswered call's connection is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(40);
-/// Time in which a checked connection must answer.
-const CHECK_LIMIT: Duration = Duration::from_millis(120);
+/// Time in which a checked connection must answer; a lost instance shows to
+/// callers for less than a second, and a busy one answers within it.
+const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
 /// Why a peer gave no answer.
 #[derive(Debug, Error)]
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -35,6 +35,9 @@
 const BODIES_MAX_KIB: usize = 128 * 1024;
 /// Time in which the body of a call must have come.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Longest wait for the process to catch up after a standstill, before the
+/// deadline of the call is read.
+const CATCH_UP_MAX: Duration = Duration::from_millis(500);
 /// When a caller may come back to an instance that is full or stopping.
 const COME_BACK_MS: u64 = 1_000;
 
@@ -147,7 +150,8 @@
 ) -> Result<(Outcome, Arc<str>), EntryError> {
     let node = &entry.node;
     let has_key = request.headers().contains_key(headers::IDEMPOTENCY_KEY);
-    if node.accepted.load().version == 0 || !node.is_joined() || !node.may_send() {
+    let is_served = node.accepted.load().version > 0 && node.is_joined();
+    if !is_served || !node.wait_may_send(started + CATCH_UP_MAX).await {
         return Ok(turn_away(NotRunReason::Isolated, has_key));
     }
     let objects = node.objects();
--- a/src/process/fence.rs
+++ b/src/process/fence.rs
@@ -68,7 +68,8 @@
     }
 
     /// Whether list and version have been asked for since the last standstill.
-    fn has_caught_up(&self, now_ms: u64) -> bool {
+    #[must_use]
+    pub fn has_caught_up(&self, now_ms: u64) -> bool {
         let went_on_ms = self.went_on_ms.load(Ordering::Relaxed);
         let list_ms = self.list_ms.load(Ordering::Relaxed);
         let look_ms = self.look_ms.load(Ordering::Relaxed);
--- a/src/process/holder.rs
+++ b/src/process/holder.rs
@@ -34,13 +34,13 @@
 
 /// Runs a call in a pool of this instance.
 pub async fn run_here(node: &Arc<Node>, run: &Run) -> Ran {
-    if !node.may_send() {
+    let deadline = deadline_in_us(run.call.remaining_us);
+    if !node.wait_may_send(deadline).await {
         return not_run(NotRunReason::Isolated, super::fence::ISOLATION_MS);
     }
     let Some(pool) = held_pool(node, &run.pool).await else {
         return elsewhere();
     };
-    let deadline = deadline_in_us(run.call.remaining_us);
     let mut attempt = Attempt::new(Arc::clone(&run.call));
     let mut avoid = run.call.avoid.clone();
     let mut refused_by: Option<Arc<str>> = None;
@@ -60,9 +60,14 @@
                 return not_run(to_not_run(reason), retry_after_ms);
             }
         };
-        // The process may have been frozen while the call waited.
+        // The process may have been frozen while the call waited; the slot may
+        // be one that it no longer gives out.
         if !node.may_send() {
-            return not_run(NotRunReason::Isolated, super::fence::ISOLATION_MS);
+            drop(slot);
+            if !node.wait_may_send(deadline).await {
+                return not_run(NotRunReason::Isolated, super::fence::ISOLATION_MS);
+            }
+            continue;
         }
         node.note(Kind::Place, &run.call, &slot.name, slot.reason.to_string());
         let name = Arc::clone(&slot.name);
--- a/src/process/node.rs
+++ b/src/process/node.rs
@@ -8,7 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::prelude::*;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::choice::{Hints, PoolName};
 use super::clock::Clock;
@@ -39,6 +39,11 @@
 const RETRY_EARNED_MILLI: u64 = 100;
 /// Retries that an organisation has at the start.
 const RETRY_INITIAL: u64 = 10;
+/// Time for which a call waits until the process has caught up after a
+/// standstill; a look at list and log takes a few milliseconds.
+const CATCH_UP_LIMIT: Duration = Duration::from_millis(500);
+/// Pause between looks whether it has.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which a fresh connection to a peer must answer.
 const VERIFY_LIMIT: Duration = Duration::from_millis(200);
 
@@ -294,6 +299,17 @@
         self.fence.may_send(self.clock.now_ms())
     }
 
+    /// Waits until new work may be sent, where only the questions after a
+    /// standstill of the process are still to be answered; `false` where it
+    /// may not be sent.
+    pub async fn wait_may_send(&self, deadline: Instant) -> bool {
+        let until = deadline.min(Instant::now() + CATCH_UP_LIMIT);
+        while !self.fence.has_caught_up(self.clock.now_ms()) && Instant::now() < until {
+            sleep(CATCH_UP_PAUSE).await;
+        }
+        self.may_send()
+    }
+
     /// Whether callers may be served here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -83,7 +83,7 @@
                 self.upstreams.on_probed(now_us, upstream, healthy);
             }
             Event::Strikes(strikes) => self.on_strikes(now_us, &strikes),
-            Event::Tick => {}
+            Event::Tick => self.release_held(),
         }
         self.review(now_us, decisions);
         self.dispatch(now_us, decisions);
@@ -239,6 +239,11 @@
                 continue;
             };
             let Some((upstream, reason)) = self.choose(now_us, &waiting) else {
+                if waiting.avoid.is_some() {
+                    // Others may use the room that this call avoids.
+                    self.held.push(waiting);
+                    continue;
+                }
                 self.queue.push_front(waiting);
                 return;
             };
@@ -297,11 +302,16 @@
         if let Some(index) = self.upstreams.next_fast(waiting.avoid) {
             return Some((index, SendReason::LeastLoaded));
         }
-        if let Some(index) = slow.filter(|index| self.is_sooner(*index, waiting)) {
+        let is_repeated = waiting.avoid.is_some();
+        if let Some(index) = slow.filter(|index| is_repeated || self.is_sooner(*index, waiting)) {
             return Some((index, SendReason::SlowButSooner));
         }
-        // Rather the upstream that an earlier attempt used than none.
-        waiting.avoid?;
+        // Rather the upstream that an earlier attempt used than none in time.
+        let avoid = waiting.avoid?;
+        let has_time = now_us - waiting.arrived_us.min(now_us) < avoid_time_us(waiting);
+        if has_time && self.upstreams.has_other(avoid) {
+            return None;
+        }
         let fast = self.upstreams.next_fast(None);
         let index = fast.or(self.upstreams.next_slow(None))?;
         Some((index, SendReason::LeastLoaded))
@@ -370,6 +380,12 @@
     }
 }
 
+/// Time for which a call waits for another upstream than the one that an
+/// earlier attempt used: half of what it had when it came.
+fn avoid_time_us(waiting: &Waiting) -> u64 {
+    waiting.deadline_us.saturating_sub(waiting.arrived_us) / 2
+}
+
 fn refuse_poison(waiting: Waiting) -> Decision {
     refusal(waiting, RefuseReason::Poison, FORGET_AFTER_US / 1000)
 }
--- a/src/process/pool/upstreams.rs
+++ b/src/process/pool/upstreams.rs
@@ -163,6 +163,17 @@
         self.live == self.ejected
     }
 
+    /// Whether an upstream other than `avoid` takes calls, at once or when
+    /// its slots are free.
+    #[must_use]
+    pub fn has_other(&self, avoid: usize) -> bool {
+        let limits = self.limits();
+        let takes_calls = |(index, upstream): (usize, &Upstream)| {
+            index != avoid && upstream.life.limit(limits) > 0
+        };
+        self.upstreams.iter().enumerate().any(takes_calls)
+    }
+
     /// Whether no upstream changes with time alone.
     #[must_use]
     pub fn is_settled(&self) -> bool {
--- a/tests/fleet/env.rs
+++ b/tests/fleet/env.rs
@@ -9,6 +9,7 @@
 
 use chicorywing::connection::list::{ListedInstance, ListedState, Role};
 use chicorywing::process::admin::Status;
+use chicorywing::process::decisions::Decided;
 use chicorywing::request::headers;
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde_json::{Value, json};
@@ -285,6 +286,16 @@
         response.json().await.ok()
     }
 
+    /// The decisions that an entry remembers; none if it does not answer.
+    pub async fn decisions(&self, entry: usize) -> Vec<Decided> {
+        let address = self.address(ADMIN_PORT, entry);
+        let request = self.client.get(format!("http://{address}/decisions"));
+        let Ok(response) = request.timeout(Duration::from_secs(1)).send().await else {
+            return Vec::new();
+        };
+        response.json().await.unwrap_or_default()
+    }
+
     pub async fn is_ready(&self, entry: usize) -> bool {
         let url = format!("http://{}/health/ready", self.caller_address(entry));
         let request = self.client.get(url).timeout(Duration::from_secs(1));
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -91,6 +91,20 @@
         }));
     }
 
+    /// A repeated attempt that was lost at upstream `avoid`.
+    fn arrive_avoiding(&mut self, avoid: usize) {
+        self.next_ticket += 1;
+        self.handle(Event::Arrived(Waiting {
+            ticket: self.next_ticket,
+            organisation: "payer".into(),
+            tier: TierKind::Paying,
+            deadline_us: self.now_us + SECOND_US,
+            arrived_us: self.now_us,
+            avoid: Some(avoid),
+            fingerprint: 7,
+        }));
+    }
+
     fn arrive_paying(&mut self, count: u64) {
         for fingerprint in 0..count {
             self.arrive(TierKind::Paying, "payer", fingerprint);
@@ -234,6 +248,58 @@
     expect_that!(driver.most_in_flight(), eq(2));
 }
 
+#[gtest]
+fn a_repeated_attempt_waits_for_another_upstream_than_the_one_that_lost_it() {
+    let mut driver = Driver::new(2, 1);
+    driver.warm_up();
+    driver.arrive_paying(1);
+    let busy = driver.sent[0].1;
+
+    driver.arrive_avoiding(1 - busy);
+    let sent_at_once = driver.sent.len() - 1;
+    // Others use the room that it leaves.
+    driver.arrive_paying(1);
+    let used = driver.sent[1].1;
+    driver.end(0, Signal::Answered, 1_000);
+
+    expect_that!(sent_at_once, eq(0));
+    expect_that!(used, eq(1 - busy));
+    expect_that!(driver.sent[1].1, eq(busy));
+}
+
+#[gtest]
+fn a_repeated_attempt_goes_to_a_slow_upstream_rather_than_back() {
+    let mut driver = Driver::new(2, 1);
+    driver.warm_up();
+    for round in 0..100 {
+        driver.arrive_paying(if round < 10 { 2 } else { 1 });
+        while let Some((_, upstream)) = driver.sent.first() {
+            let took_us = if *upstream == 1 { 200_000 } else { 1_000 };
+            driver.end(0, Signal::Answered, took_us);
+        }
+    }
+
+    driver.arrive_avoiding(0);
+
+    expect_that!(driver.sent.len(), eq(1));
+    expect_that!(driver.sent[0].1, eq(1));
+}
+
+#[gtest]
+fn a_repeated_attempt_goes_back_where_no_other_upstream_is_free_in_time() {
+    let mut driver = Driver::new(2, 1);
+    driver.warm_up();
+    driver.arrive_paying(1);
+    let busy = driver.sent[0].1;
+
+    driver.arrive_avoiding(1 - busy);
+    driver.now_us += SECOND_US / 2;
+    driver.handle(Event::Tick);
+
+    expect_that!(driver.sent.len(), eq(2));
+    expect_that!(driver.sent[1].1, eq(1 - busy));
+}
+
 #[gtest]
 fn a_flood_of_trials_leaves_paying_calls_their_slots() {
     let mut driver = Driver::new(4, 2);
