Follow the reader at once after a start, with a first question that does not wait

It learnt the others after a pause of 0.5 s, and its first question to its reader was a long one, which an instance that lacks nothing gets answered after 1 s only. Change: the news end the pause; whoever still reads itself asks without a wait, and leaves the store to a reader that is about to read it.

--- a/src/gateway/sharing.rs
+++ b/src/gateway/sharing.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::relay::{AskError, Teller};
 use super::settings::Settings;
@@ -75,16 +75,22 @@
         teller: None,
         taking_over: None,
     };
+    let mut news = gateway.news();
     loop {
+        news.mark_unchanged();
         let source = following.choose(&gateway);
         if source.is_reader {
             gateway.set_role(true, "first of its data centre");
         }
         let Some(address) = source.address else {
-            sleep(ALONE_PAUSE).await;
+            // The news may name other instances; without any it is looked again.
+            let _ = timeout(ALONE_PAUSE, news.changed()).await;
             continue;
         };
-        match following.ask(&gateway, address).await {
+        // Whoever still reads itself wants to know at once that it need not.
+        let is_undecided = !source.is_reader && *gateway.role().borrow();
+        let wait = if is_undecided { Duration::ZERO } else { WAIT };
+        match following.ask(&gateway, address, wait).await {
             Ok(true) => {
                 following.taking_over = None;
                 if !source.is_reader {
@@ -99,7 +105,12 @@
                 }
                 sleep(LOST_PAUSE).await;
             }
-            Ok(false) if following.may_take_over(address) => sleep(TAKE_OVER_PAUSE).await,
+            Ok(false) if following.may_take_over(address) => {
+                if !source.is_reader && gateway.is_ready() {
+                    gateway.set_role(false, "its reader is about to read");
+                }
+                sleep(TAKE_OVER_PAUSE).await;
+            }
             Ok(false) => {
                 let why = "it does not read the store";
                 following.suspect(address, Standing::WithoutStore, &why);
@@ -148,13 +159,14 @@
         &mut self,
         gateway: &Gateway<P>,
         address: SocketAddr,
+        wait: Duration,
     ) -> Result<bool, AskError> {
         let kept = self.teller.take().filter(|kept| kept.address() == address);
         let teller = match kept {
             Some(kept) => kept,
             None => Teller::open(address).await?,
         };
-        let answer = teller.ask(gateway, WAIT).await?;
+        let answer = teller.ask(gateway, wait).await?;
         self.teller = Some(teller);
         Ok(answer)
     }
--- a/tests/gateway/sharing.rs
+++ b/tests/gateway/sharing.rs
@@ -28,9 +28,16 @@
 
 impl Member {
     async fn start(store: &Arc<FakeStore>, name: &str, data_centre: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        drop(listener);
+        let address = free_address().await;
+        Self::start_at(store, name, data_centre, address).await
+    }
+
+    async fn start_at(
+        store: &Arc<FakeStore>,
+        name: &str,
+        data_centre: &str,
+        address: SocketAddr,
+    ) -> Self {
         let settings = Settings {
             data_centre: data_centre.into(),
             ..settings(name, address, &[])
@@ -58,6 +65,11 @@
     }
 }
 
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
 async fn fleet(store: &Arc<FakeStore>, places: &[(&str, &str)]) -> Vec<Member> {
     store.write(Stream::Orders, "config", Some("1"));
     store.write(Stream::Upstreams, "up-1", Some("ready"));
@@ -188,6 +200,36 @@
     within(SETTLED, "version 3 everywhere", is_known).await;
 }
 
+#[gtest]
+#[tokio::test]
+async fn instances_that_start_together_leave_the_following_to_one() {
+    let store = FakeStore::new();
+    store.write(Stream::Orders, "config", Some("1"));
+    store.write(Stream::Upstreams, "up-1", Some("ready"));
+    // All were known before they lost their power.
+    let mut places = Vec::new();
+    for number in 0..8 {
+        let (name, address) = (format!("gate-{number}"), free_address().await);
+        let record = settings(&name, address, &[]).as_instance().to_record();
+        let key = format!("instance/{name}");
+        store.write(Stream::Instances, &key, Some(&record));
+        places.push((name, address));
+    }
+
+    let mut members = Vec::new();
+    for (name, address) in &places {
+        members.push(Member::start_at(&store, name, "dc-a", *address).await);
+    }
+    let is_known = || members.iter().all(|member| member.version() == 1);
+    within(BOUND, "all know the version", is_known).await;
+    sleep(Duration::from_secs(2)).await;
+
+    // Each reads three streams once; one follows them on.
+    expect_that!(store.reads(), le(8 * 3 + 8));
+    let readers = members.iter().filter(|member| member.is_reader());
+    expect_that!(readers.count(), eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn entries_that_lapse_with_the_store_are_kept_by_those_who_follow_a_reader() {
