Play every treatment of a request by two upstreams against what is said of it

Change: 1000 cases: ten ways in which each of two upstreams treats the request, may it be repeated or not, and an event between (caller leaves, stop, drain, data centre out). Checked: at most one run of what may run once, refusals that are true and tell when to return, whole answers only, final answer in time, work that ends with its caller.

--- a/tests/gateway/calls.rs
+++ b/tests/gateway/calls.rs
@@ -28,7 +28,7 @@
 }
 
 /// A gateway that knows these upstreams and this route.
-fn gateway_to(upstreams: &[&Upstream], route: &Route) -> Arc<Gateway<FakePlatform>> {
+pub fn gateway_to(upstreams: &[&Upstream], route: &Route) -> Arc<Gateway<FakePlatform>> {
     let gateway = gateway(&FakeStore::new());
     {
         let mut view = gateway.view();
@@ -41,7 +41,7 @@
     gateway
 }
 
-fn call(route: &Route) -> Call {
+pub fn call(route: &Route) -> Call {
     let id = HeaderValue::from_static("call-1");
     let mut headers = HeaderMap::new();
     headers.insert("t-id", id.clone());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod fake;
 mod following;
+mod lives;
 mod sharing;
 mod stopping;
 mod upstream;
