Keep the upstreams of a service in order instead of rebuilding all lists

Cause: each report rebuilt the lists of all services. Taking in the first read of 319 upstreams took 8.5 ms of processor time, and 4.6 ms for 231: on a tenth of a core the greater part of the 0.2 to 0.3 s between an instance's start and its first send after a loss of power. Change: an ordered map for each service, changed in place. A property compares the lists with the entries over any history.

--- a/src/decision/directory.rs
+++ b/src/decision/directory.rs
@@ -1,6 +1,6 @@
 //! The upstreams that are known, by what they report of themselves.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: HashMap<Arc<str>, Entry>,
-    by_service: HashMap<Arc<str>, Arc<[Arc<Upstream>]>>,
+    by_service: HashMap<Arc<str>, BTreeMap<Arc<str>, Arc<Upstream>>>,
 }
 
 impl Directory {
@@ -94,7 +94,6 @@
         if is_old && !is_lapsed {
             return Change::None;
         }
-        let id = Arc::clone(&report.id);
         let cold_until_ms = match report.cold_left_ms {
             0 => 0,
             left_ms => now_ms + left_ms,
@@ -103,12 +102,8 @@
             report,
             cold_until_ms,
         });
-        let entry = Entry {
-            upstream,
-            lapses_at_ms: None,
-        };
-        self.entries.insert(id, entry);
-        self.rebuild();
+        self.take_out(&upstream.report.id);
+        self.insert(upstream);
         change
     }
 
@@ -125,8 +120,7 @@
             entry.lapses_at_ms = Some(now_ms + LAPSE_GRACE_MS);
             return Change::Lapsed;
         }
-        self.entries.remove(id);
-        self.rebuild();
+        self.take_out(id);
         Change::Left
     }
 
@@ -139,10 +133,7 @@
             }
         }
         for id in &gone {
-            self.entries.remove(id);
-        }
-        if !gone.is_empty() {
-            self.rebuild();
+            self.take_out(id);
         }
         gone
     }
@@ -185,10 +176,12 @@
         is_same && is_there
     }
 
-    /// Upstreams of a service that take work.
-    #[must_use]
-    pub fn of_service(&self, service: &str) -> Arc<[Arc<Upstream>]> {
-        self.by_service.get(service).cloned().unwrap_or_default()
+    /// Upstreams of a service that take work, by their names.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
     }
 
     /// Number of known upstreams.
@@ -203,22 +196,32 @@
         self.entries.is_empty()
     }
 
-    fn rebuild(&mut self) {
-        let mut by_service: HashMap<Arc<str>, Vec<Arc<Upstream>>> = HashMap::new();
-        for entry in self.entries.values() {
-            let report = &entry.upstream.report;
-            if report.state == UpstreamState::Draining {
-                continue;
-            }
-            by_service
-                .entry(Arc::clone(&report.service))
-                .or_default()
-                .push(Arc::clone(&entry.upstream));
+    fn insert(&mut self, upstream: Arc<Upstream>) {
+        let report = &upstream.report;
+        if report.state == UpstreamState::Ready {
+            let of_service = self.by_service.entry(Arc::clone(&report.service));
+            let id = Arc::clone(&report.id);
+            of_service.or_default().insert(id, Arc::clone(&upstream));
         }
-        self.by_service.clear();
-        for (service, mut upstreams) in by_service {
-            upstreams.sort_by(|a, b| a.report.id.cmp(&b.report.id));
-            self.by_service.insert(service, upstreams.into());
+        let id = Arc::clone(&report.id);
+        let entry = Entry {
+            upstream,
+            lapses_at_ms: None,
+        };
+        self.entries.insert(id, entry);
+    }
+
+    fn take_out(&mut self, id: &str) {
+        let Some(entry) = self.entries.remove(id) else {
+            return;
+        };
+        let service = &entry.upstream.report.service;
+        let Some(of_service) = self.by_service.get_mut(service) else {
+            return;
+        };
+        of_service.remove(id);
+        if of_service.is_empty() {
+            self.by_service.remove(service);
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -349,7 +349,7 @@
     pub fn upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
         let view = self.view();
         let mut upstreams = Vec::new();
-        for upstream in view.directory.of_service(service).iter() {
+        for upstream in view.directory.of_service(service) {
             if !view.out.contains(&upstream.report.data_centre) {
                 upstreams.push(Arc::clone(upstream));
             }
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -156,7 +156,7 @@
 
     expect_that!(by_sequence, eq(Change::None));
     expect_that!(by_process, eq(Change::None));
-    expect_that!(directory.of_service("s").len(), eq(1));
+    expect_that!(directory.of_service("s").count(), eq(1));
 }
 
 #[gtest]
@@ -167,7 +167,7 @@
     let change = directory.put(report("u", 6, 1, UpstreamState::Ready), 0);
 
     expect_that!(change, eq(Change::Joined));
-    expect_that!(directory.of_service("s").len(), eq(1));
+    expect_that!(directory.of_service("s").count(), eq(1));
 }
 
 #[gtest]
@@ -178,7 +178,7 @@
     let change = directory.put(report("u", 5, 2, UpstreamState::Draining), 0);
 
     expect_that!(change, eq(Change::Draining));
-    expect_that!(directory.of_service("s").len(), eq(0));
+    expect_that!(directory.of_service("s").count(), eq(0));
     expect_that!(directory.get("u").is_some(), eq(true));
 }
 
@@ -189,13 +189,13 @@
         directory.put(report(id, 5, 7, UpstreamState::Ready), 0);
         expect_that!(directory.remove(id, true, 1_000), eq(Change::Lapsed));
     }
-    expect_that!(directory.of_service("s").len(), eq(2));
+    expect_that!(directory.of_service("s").count(), eq(2));
 
     directory.put(report("back", 5, 7, UpstreamState::Ready), 1_500);
     let gone = directory.expire(3_001);
 
     expect_that!(gone, elements_are![eq(&Arc::<str>::from("gone"))]);
-    expect_that!(directory.of_service("s").len(), eq(1));
+    expect_that!(directory.of_service("s").count(), eq(1));
 }
 
 #[gtest]
@@ -542,3 +542,38 @@
         eq(Choice::FollowWithoutStore(0))
     );
 }
+
+proptest! {
+    /// Whatever comes and goes, a service lists just its upstreams that take
+    /// work, by their names.
+    #[test]
+    fn a_service_lists_its_ready_upstreams(
+        steps in prop::collection::vec((0..6_u8, 0..3_u8, 0..4_u8), 1..60)
+    ) {
+        let mut directory = Directory::default();
+        for (sequence, (number, service, what)) in (1..).zip(steps) {
+            let id = format!("i-{number}");
+            if what == 3 {
+                directory.remove(&id, false, 0);
+                continue;
+            }
+            let state = if what == 2 { UpstreamState::Draining } else { UpstreamState::Ready };
+            let mut report = report(&id, 1, sequence, state);
+            report.service = format!("s{service}").into();
+            directory.put(report, 0);
+        }
+
+        for service in ["s0", "s1", "s2"] {
+            let mut wanted: Vec<String> = Vec::new();
+            for id in directory.ids() {
+                let report = &directory.get(id).unwrap().report;
+                if &*report.service == service && report.state == UpstreamState::Ready {
+                    wanted.push(id.to_string());
+                }
+            }
+            wanted.sort();
+            let listed = directory.of_service(service).map(|upstream| upstream.report.id.to_string());
+            assert_eq!(listed.collect::<Vec<_>>(), wanted);
+        }
+    }
+}
