--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Pause after the first read of a stream, in which it shows who reads on;
+/// with the reads' own time it stays within the platform's bounds.
+const FIRST_PAUSE: Duration = Duration::from_millis(700);
 /// Time within which a read without a wait is answered while the store is well;
 /// ten times the usual 4 ms.
 const USUAL_ANSWER: Duration = Duration::from_millis(40);
@@ -139,9 +142,12 @@
                 let is_news = !records.records.is_empty();
                 is_after_news = is_news;
                 gateway.take_in(stream, records, is_loaded, "store");
+                let is_first = !is_loaded;
                 is_loaded = true;
                 if is_in_doubt {
                     sleep(SLOW_PAUSE).await;
+                } else if is_first {
+                    sleep(FIRST_PAUSE).await;
                 } else if is_news {
                     sleep(stream.batch()).await;
                 }
@@ -184,6 +190,9 @@
     loop {
         gateway.long_read_began.notified().await;
         sleep(CHECK_AFTER).await;
+        if !*gateway.role().borrow() {
+            continue;
+        }
         let began = Instant::now();
         match step(&gateway, Stream::Orders, true, Duration::ZERO).await {
             Ok(records) => {
--- a/tests/gateway/following.rs
+++ b/tests/gateway/following.rs
@@ -66,6 +66,40 @@
     within(CONFIG_BOUND, "version 3", || version(&gateway) == 3).await;
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn who_leaves_the_store_to_another_instance_asks_it_nothing_more() {
+    let store = FakeStore::new();
+    let gateway = following(&store).await;
+
+    // A moment after its first reads it has found out who reads.
+    sleep(Duration::from_millis(400)).await;
+    gateway.set_role(false, "the test");
+    let before = store.reads();
+    sleep(Duration::from_secs(30)).await;
+
+    expect_that!(before, eq(3), "the first read of each stream");
+    expect_that!(store.reads(), eq(before));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_check_of_a_long_read_is_left_out_once_another_instance_reads() {
+    let store = FakeStore::new();
+    let gateway = following(&store).await;
+    sleep(Duration::from_secs(5)).await;
+    store.write(Stream::Orders, "config", Some("2"));
+    within(CONFIG_BOUND, "version 2", || version(&gateway) == 2).await;
+    // The next long read has begun, and its check is to come.
+    sleep(Duration::from_millis(300)).await;
+
+    gateway.set_role(false, "the test");
+    let before = store.reads();
+    sleep(Duration::from_secs(30)).await;
+
+    expect_that!(store.reads(), eq(before));
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_version_written_while_the_store_was_silent_is_found_after_its_return() {
