Stay in the own data centre where many upstreams stand there

Among 40 upstreams at hand one is idle as likely as among 170. Ruled out: the readers' traffic (four instances, some KB a second). Change: the weight of near upstreams grows with their number; with four of them half as much again, with 43 sixfold.

--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -9,6 +9,9 @@
 const NEAR_WEIGHT: f64 = 2.0;
 /// Weight that each kilobyte of request and answer adds to that.
 const NEAR_WEIGHT_PER_KB: f64 = 1.0;
+/// Upstreams in the own data centre that double that weight once more: among
+/// many of them, one is idle as likely as among all.
+const NEAR_ENOUGH: f64 = 8.0;
 /// Weight of an upstream to which a connection stands; a new one takes its time.
 const CONNECTED_WEIGHT: f64 = 4.0;
 /// Factor on the cost of an upstream in another data centre.
@@ -59,12 +62,15 @@
 }
 
 impl Nearness {
-    /// Nearness of requests with so many bytes, answers included.
+    /// Nearness of requests with so many bytes, answers included, where so many
+    /// upstreams stand in the own data centre.
     #[must_use]
-    pub fn of_bytes(bytes: f64) -> Self {
+    pub fn new(bytes: f64, near_upstreams: usize) -> Self {
         let kilobytes = bytes / 1_000.0;
+        let near = f64::from(u32::try_from(near_upstreams).unwrap_or(u32::MAX));
+        let choice = 1.0 + near / NEAR_ENOUGH;
         Self {
-            weight: NEAR_WEIGHT + NEAR_WEIGHT_PER_KB * kilobytes,
+            weight: choice * (NEAR_WEIGHT + NEAR_WEIGHT_PER_KB * kilobytes),
             far_cost: FAR_COST + FAR_COST_PER_KB * kilobytes,
         }
     }
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -52,7 +52,6 @@
     tried: &[Arc<str>],
 ) -> (Vec<Probed>, usize) {
     let now_ms = gateway.now_ms();
-    let nearness = Nearness::of_bytes(gateway.means(&call.route).bytes);
     let mut usable = Vec::new();
     let mut candidates = Vec::new();
     for upstream in gateway.upstreams(service) {
@@ -74,6 +73,8 @@
         });
         usable.push((upstream, link));
     }
+    let near = candidates.iter().filter(|candidate| candidate.is_near);
+    let nearness = Nearness::new(gateway.means(&call.route).bytes, near.count());
     let probes = PROBE_ROUNDS.iter().sum();
     let drawn = shortlist(&candidates, nearness, probes, &mut rand::rng());
     let health_path = gateway
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -452,8 +452,8 @@
 
 #[gtest]
 fn large_answers_stay_near_unless_far_is_much_sooner() {
-    let large = Nearness::of_bytes(6_000.0);
-    let small = Nearness::of_bytes(300.0);
+    let large = Nearness::new(6_000.0, 4);
+    let small = Nearness::new(300.0, 4);
     let near_busy = reading(load(1, 0, 100.0));
     let far_idle = reading(load(0, 0, 150.0));
 
@@ -543,6 +543,35 @@
     );
 }
 
+/// Share of first draws that stay in the own data centre.
+fn near_share(near: usize, far: usize) -> f64 {
+    let mut candidates = Vec::new();
+    for number in 0..near + far {
+        candidates.push(Candidate {
+            is_near: number < near,
+            is_connected: false,
+            failure_share: 0.0,
+        });
+    }
+    let nearness = Nearness::new(400.0, near);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut stayed = 0;
+    for _ in 0..2_000 {
+        let drawn = shortlist(&candidates, nearness, 1, &mut random);
+        stayed += u32::from(drawn[0] < near);
+    }
+    f64::from(stayed) / 2_000.0
+}
+
+#[gtest]
+fn work_stays_near_where_many_upstreams_stand_there() {
+    // What goes elsewhere is paid for, and meets no idler upstream.
+    expect_that!(near_share(43, 128), ge(0.7));
+    // Among few, the others are needed to find an idle one.
+    expect_that!(near_share(4, 8), le(0.7));
+    expect_that!(near_share(1, 5), le(0.5));
+}
+
 proptest! {
     /// Whatever comes and goes, a service lists just its upstreams that take
     /// work, by their names.
