--- /dev/null
+++ b/benches/policies/model.rs
@@ -0,0 +1,418 @@
+//! An event model of one service behind the gateway: upstreams with slots, a
+//! queue and a pace that changes many times a second, instances in several data
+//! centres, callers that wait, come back once and give up.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use chicorywing::decision::selection::{Load, Reading, USUAL_SPEED};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use strum::{Display, EnumIter, EnumString};
+
+use crate::ways::{Placer, Step, Way};
+
+/// Time for which the pace of an upstream stays as it is.
+const PACE_US: u64 = 150_000;
+/// Share of the time in which an upstream is slow, and how slow it is then.
+const SLOW_SHARE: f64 = 0.25;
+const SLOW_FACTOR: f64 = 5.0;
+/// Share of busy slots from which work takes longer, and how much longer.
+const KNEE: f64 = 0.8;
+const KNEE_FACTOR: f64 = 1.7;
+/// How much longer work takes on a cold upstream.
+const COLD_FACTOR: f64 = 2.0;
+/// One way within a data centre and between two.
+const NEAR_US: u64 = 100;
+const FAR_US: u64 = 500;
+/// Payoff of an answer after the objective.
+const LATE_PAYOFF: f64 = 0.1;
+/// Length of the windows of which the worst counts.
+const WINDOW_US: u64 = 2_000_000;
+const SECOND_US: u64 = 1_000_000;
+/// Length of a run; what the pattern brings comes from its third to its half.
+const RUN_US: u64 = 30 * SECOND_US;
+
+/// What the load and the upstreams do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Pattern {
+    /// The usual load.
+    Calm,
+    /// Three times the usual load.
+    Burst,
+    /// A fifth of the upstreams works four times slower.
+    SlowShare,
+    /// A third of the upstreams is cold, at one and a half times the load.
+    ColdThird,
+    /// A third of the upstreams turns everything down.
+    SheddingThird,
+}
+
+/// The service and its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    pub instances: usize,
+    pub upstreams: usize,
+    pub data_centres: usize,
+    pub slots: u32,
+    pub queue: u32,
+    /// Mean time of the work on an idle upstream, and its spread.
+    pub work_ms: f64,
+    pub spread: f64,
+    pub objective_ms: u64,
+    pub deadline_ms: u64,
+    /// Share of all slots that the usual load keeps busy, at the usual pace.
+    pub load: f64,
+}
+
+impl Site {
+    /// A service of twelve upstreams behind thirteen instances.
+    pub fn small() -> Self {
+        Self {
+            instances: 13,
+            upstreams: 12,
+            data_centres: 3,
+            slots: 2,
+            queue: 4,
+            work_ms: 220.0,
+            spread: 0.3,
+            objective_ms: 600,
+            deadline_ms: 1_500,
+            load: 0.25,
+        }
+    }
+}
+
+/// What one way brought.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub requests: u64,
+    pub in_time: u64,
+    pub refused: u64,
+    pub failed: u64,
+    pub probes: u64,
+    pub sent_far: u64,
+    /// Payoff earned and owed by windows.
+    windows: Vec<(f64, f64)>,
+}
+
+impl Figures {
+    pub fn payoff(&self) -> f64 {
+        let (earned, owed) = self.windows.iter().fold((0.0, 0.0), |sum, window| {
+            (sum.0 + window.0, sum.1 + window.1)
+        });
+        earned / f64::max(owed, 1.0)
+    }
+
+    pub fn worst_window(&self) -> f64 {
+        let shares = self.windows.iter().filter(|(_, owed)| *owed > 0.0);
+        shares
+            .map(|(earned, owed)| earned / owed)
+            .fold(1.0, f64::min)
+    }
+
+    fn add(&mut self, request: &Request, payoff: f64) {
+        let window = usize::try_from(request.first_us / WINDOW_US).unwrap_or(0);
+        if self.windows.len() <= window {
+            self.windows.resize(window + 1, (0.0, 0.0));
+        }
+        self.windows[window].0 += payoff;
+        self.windows[window].1 += 1.0;
+        self.requests += 1;
+        self.in_time += u64::from(payoff >= 1.0);
+    }
+}
+
+/// One request of a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    pub instance: usize,
+    /// When the caller sent it first, and this time.
+    pub first_us: u64,
+    pub arrived_us: u64,
+    pub work_us: f64,
+    pub sent_us: u64,
+    came_back: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    /// The readings that a request asked for are there.
+    Readings(usize),
+    AtUpstream(usize, usize),
+    Done(usize, usize),
+    Answered(usize, usize),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Upstream {
+    running: u32,
+    queue: VecDeque<usize>,
+}
+
+/// The state of a run.
+pub struct Model {
+    pub site: Site,
+    pattern: Pattern,
+    seed: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    requests: Vec<Request>,
+    upstreams: Vec<Upstream>,
+    pub figures: Figures,
+}
+
+impl Model {
+    pub fn new(site: Site, pattern: Pattern, seed: u64) -> Self {
+        let mut model = Self {
+            site,
+            pattern,
+            seed,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            requests: Vec::new(),
+            upstreams: vec![Upstream::default(); site.upstreams],
+            figures: Figures::default(),
+        };
+        model.plan();
+        model
+    }
+
+    /// Draws all requests; each way meets the same ones.
+    fn plan(&mut self) {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let site = self.site;
+        let slots = f64::from(site.slots) * site.upstreams as f64;
+        let usual_gap_us = site.work_ms * 1_000.0 / (slots * site.load);
+        let mut at_us = 0.0;
+        loop {
+            let factor = self.load_factor(at_us as u64);
+            let uniform: f64 = random.random();
+            at_us -= usual_gap_us / factor * (1.0 - uniform).ln();
+            if at_us as u64 >= RUN_US {
+                return;
+            }
+            let normal = normal(&mut random);
+            let work_ms = site.work_ms * (site.spread * normal).exp();
+            let request = Request {
+                instance: random.random_range(0..site.instances),
+                first_us: at_us as u64,
+                arrived_us: at_us as u64,
+                work_us: work_ms * 1_000.0,
+                sent_us: 0,
+                came_back: false,
+            };
+            self.requests.push(request);
+            self.push(at_us as u64, Event::Arrive(self.requests.len() - 1));
+        }
+    }
+
+    /// Lets a way place all requests.
+    pub fn run(mut self, way: Way) -> Figures {
+        let mut placer = Placer::new(way, &self.site, self.seed);
+        while let Some(Reverse((now_us, _, event))) = self.events.pop() {
+            match event {
+                Event::Arrive(request) => {
+                    let step = placer.arrive(&mut self, now_us, request);
+                    self.take(now_us, request, step);
+                }
+                Event::Readings(request) => {
+                    let step = placer.on_readings(&mut self, now_us, request);
+                    self.take(now_us, request, step);
+                }
+                Event::AtUpstream(request, upstream) => {
+                    self.at_upstream(now_us, request, upstream, &mut placer);
+                }
+                Event::Done(request, upstream) => self.done(now_us, request, upstream),
+                Event::Answered(request, upstream) => {
+                    let found = self.requests[request];
+                    let step = placer.on_end(&found, upstream);
+                    self.answered(now_us, request);
+                    if let Some((request, step)) = step {
+                        self.take(now_us, request, step);
+                    }
+                }
+            }
+        }
+        self.figures
+    }
+
+    fn take(&mut self, now_us: u64, request: usize, step: Step) {
+        match step {
+            Step::Ask { until_us } => self.push(until_us, Event::Readings(request)),
+            Step::Again { at_us } => self.push(at_us, Event::Arrive(request)),
+            Step::Wait => {}
+            Step::Send { upstream } => {
+                let hop_us = self.hop_us(request, upstream);
+                self.figures.sent_far += u64::from(hop_us == FAR_US);
+                self.requests[request].sent_us = now_us;
+                self.push(now_us + hop_us, Event::AtUpstream(request, upstream));
+            }
+            Step::Refuse { return_ms } => self.refuse(now_us, request, return_ms),
+        }
+    }
+
+    /// A refused caller comes back once, if it has the time.
+    fn refuse(&mut self, now_us: u64, request: usize, return_ms: u64) {
+        let back_us = now_us + return_ms * 1_000;
+        let found = &mut self.requests[request];
+        let gives_up_us = found.first_us + self.site.deadline_ms * 1_000;
+        if found.came_back || back_us >= gives_up_us {
+            self.figures.refused += 1;
+            self.figures.add(&self.requests[request], 0.0);
+            return;
+        }
+        found.came_back = true;
+        found.arrived_us = back_us;
+        self.push(back_us, Event::Arrive(request));
+    }
+
+    fn at_upstream(&mut self, now_us: u64, request: usize, upstream: usize, placer: &mut Placer) {
+        let found = &mut self.upstreams[upstream];
+        let is_full = found.queue.len() >= self.site.queue as usize;
+        let sheds = self.pattern == Pattern::SheddingThird
+            && is_in_pattern(now_us)
+            && upstream.is_multiple_of(3);
+        if is_full || sheds {
+            let request_found = self.requests[request];
+            placer.on_shed(&request_found, upstream);
+            let hop_us = self.hop_us(request, upstream);
+            self.push(now_us + hop_us, Event::Arrive(request));
+            return;
+        }
+        self.upstreams[upstream].queue.push_back(request);
+        self.start(now_us, upstream);
+    }
+
+    fn start(&mut self, now_us: u64, upstream: usize) {
+        while self.upstreams[upstream].running < self.site.slots {
+            let Some(request) = self.upstreams[upstream].queue.pop_front() else {
+                return;
+            };
+            self.upstreams[upstream].running += 1;
+            let end_us = self.end_us(now_us, upstream, self.requests[request].work_us);
+            self.push(end_us, Event::Done(request, upstream));
+        }
+    }
+
+    fn done(&mut self, now_us: u64, request: usize, upstream: usize) {
+        self.upstreams[upstream].running -= 1;
+        let hop_us = self.hop_us(request, upstream);
+        self.push(now_us + hop_us, Event::Answered(request, upstream));
+        self.start(now_us, upstream);
+    }
+
+    fn answered(&mut self, now_us: u64, request: usize) {
+        let found = self.requests[request];
+        let took_us = now_us - found.first_us;
+        let payoff = if took_us <= self.site.objective_ms * 1_000 {
+            1.0
+        } else if took_us <= self.site.deadline_ms * 1_000 {
+            LATE_PAYOFF
+        } else {
+            self.figures.failed += 1;
+            0.0
+        };
+        self.figures.add(&found, payoff);
+    }
+
+    /// When work that begins now ends, through all changes of the pace.
+    fn end_us(&self, start_us: u64, upstream: usize, work_us: f64) -> u64 {
+        let busy = f64::from(self.upstreams[upstream].running) / f64::from(self.site.slots);
+        let knee = if busy > KNEE { KNEE_FACTOR } else { 1.0 };
+        let mut left_us = work_us * knee;
+        let mut now_us = start_us;
+        loop {
+            let period_end_us = (now_us / PACE_US + 1) * PACE_US;
+            let pace = self.pace(upstream, now_us);
+            let needed_us = left_us * pace;
+            let span_us = (period_end_us - now_us) as f64;
+            if needed_us <= span_us {
+                return now_us + needed_us as u64 + 1;
+            }
+            left_us -= span_us / pace;
+            now_us = period_end_us;
+        }
+    }
+
+    /// How many times as long work takes on an upstream now.
+    fn pace(&self, upstream: usize, now_us: u64) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, upstream, now_us / PACE_US).hash(&mut hasher);
+        let drawn = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
+        let mut pace = if drawn < SLOW_SHARE { SLOW_FACTOR } else { 1.0 };
+        if self.pattern == Pattern::SlowShare && is_in_pattern(now_us) && upstream.is_multiple_of(5)
+        {
+            pace *= 4.0;
+        }
+        if self.is_cold(upstream, now_us) {
+            pace *= COLD_FACTOR;
+        }
+        pace
+    }
+
+    pub fn is_cold(&self, upstream: usize, now_us: u64) -> bool {
+        self.pattern == Pattern::ColdThird && is_in_pattern(now_us) && upstream.is_multiple_of(3)
+    }
+
+    fn load_factor(&self, now_us: u64) -> f64 {
+        match self.pattern {
+            Pattern::Burst if is_in_pattern(now_us) => 3.0,
+            Pattern::ColdThird if is_in_pattern(now_us) => 1.5,
+            _ => 1.0,
+        }
+    }
+
+    /// What a probe of an upstream finds now.
+    pub fn reading(&mut self, upstream: usize, now_us: u64) -> Reading {
+        self.figures.probes += 1;
+        let found = &self.upstreams[upstream];
+        let load = Load {
+            running: found.running,
+            waiting: u32::try_from(found.queue.len()).unwrap_or(u32::MAX),
+            slots: self.site.slots,
+            speed_percent: USUAL_SPEED * self.pace(upstream, now_us),
+        };
+        Reading {
+            load: Some(load),
+            cold_left_ms: u64::from(self.is_cold(upstream, now_us)) * 1_000,
+            is_healthy: true,
+        }
+    }
+
+    pub fn request(&self, request: usize) -> &Request {
+        &self.requests[request]
+    }
+
+    pub fn is_near(&self, request: usize, upstream: usize) -> bool {
+        let instance = self.requests[request].instance;
+        instance % self.site.data_centres == upstream % self.site.data_centres
+    }
+
+    /// One way between a request's instance and an upstream.
+    pub fn hop_us(&self, request: usize, upstream: usize) -> u64 {
+        if self.is_near(request, upstream) {
+            NEAR_US
+        } else {
+            FAR_US
+        }
+    }
+
+    fn push(&mut self, at_us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_us, self.sequence, event)));
+    }
+}
+
+/// Whether the pattern does now what it is named for.
+fn is_in_pattern(now_us: u64) -> bool {
+    (RUN_US / 3..RUN_US / 2).contains(&now_us)
+}
+
+fn normal(random: &mut StdRng) -> f64 {
+    let (first, second): (f64, f64) = (random.random(), random.random());
+    (-2.0 * (1.0 - first).ln()).sqrt() * (std::f64::consts::TAU * second).cos()
+}
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -165,6 +165,15 @@
         && load.speed_percent <= GOOD_SPEED_PERCENT
 }
 
+/// Whether asking more upstreams is not worth it: one is idle at its usual
+/// pace, or of several one will answer within the time left.
+#[must_use]
+pub fn is_settled(readings: &[Reading], work_ms: f64, left_ms: u64) -> bool {
+    let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
+    let is_in_time = |reading: &Reading| expected_ms(reading, work_ms) <= left_ms;
+    readings.iter().any(is_good_enough) || (readings.len() > 1 && readings.iter().any(is_in_time))
+}
+
 /// Time that work is expected to take on an upstream, in milliseconds.
 #[must_use]
 pub fn expected_ms(reading: &Reading, work_ms: f64) -> f64 {
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -14,7 +14,7 @@
 use crate::connection::exchange::Connection;
 use crate::decision::directory::Upstream;
 use crate::decision::selection::{
-    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, expected_ms, is_good_enough, shortlist,
+    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, is_settled, shortlist,
 };
 
 /// Time for which further readings are awaited after the first one.
@@ -87,7 +87,7 @@
     let mut rest = &drawn[..];
     for (round, wanted) in PROBE_ROUNDS.into_iter().enumerate() {
         let wanted = wanted.min(rest.len());
-        if wanted == 0 || is_settled(gateway, call, &asking.found) {
+        if wanted == 0 || has_found(gateway, call, &asking.found) {
             break;
         }
         let count = gateway.take_probes(service, candidates.len(), wanted);
@@ -165,15 +165,12 @@
     }
 }
 
-/// Whether asking more upstreams is not worth it: one is idle at its usual
-/// pace, or after the second round one will answer in time.
-fn is_settled<P: Platform>(gateway: &Gateway<P>, call: &Call, found: &[Probed]) -> bool {
+/// Whether the readings that have come are good enough.
+fn has_found<P: Platform>(gateway: &Gateway<P>, call: &Call, found: &[Probed]) -> bool {
     let work_ms = gateway.means(&call.route).work_ms;
     let left_ms = call.route.objective_ms.saturating_sub(call.held_ms());
-    let left_ms = f64::from(u32::try_from(left_ms).unwrap_or(u32::MAX));
-    let is_in_time = |probed: &Probed| expected_ms(&probed.reading, work_ms) <= left_ms;
-    found.iter().any(|probed| is_good_enough(&probed.reading))
-        || (found.len() > 1 && found.iter().any(is_in_time))
+    let readings: Vec<Reading> = found.iter().map(|probed| probed.reading).collect();
+    is_settled(&readings, work_ms, left_ms)
 }
 
 /// Asks one upstream for its load.
