Size the soak's upstreams by its callers, and hold a gateway while it is killed

Cause: a run of 24 gateways and 40 callers reported a gateway that could not bind, and one request in twelve refused after all faults. The first was a start beside a process that was being killed, a fault of the soak (its log and the faults' times show both); the second was load: 300 requests a second at upstreams that bear 400, refused as no-room after 50 ms each. Change: the lock is held through a kill; one more upstream of each kind for ten callers.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -12,7 +12,7 @@
 use crate::proxy::Mode as Link;
 use crate::store::Mode;
 use crate::upstream::{Fault, Running};
-use crate::world::{DATA_CENTRES, SERVICES, World, positions};
+use crate::world::{DATA_CENTRES, SERVICES, World};
 
 /// Time after a drain for which an upstream still serves.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
@@ -190,7 +190,7 @@
     }
 
     async fn strike_upstream(self, world: &Arc<World>) {
-        let position = self.target % positions();
+        let position = self.target % world.size.upstreams();
         if self.kind == Kind::UpstreamTurnsCold || self.kind == Kind::UpstreamFaulty {
             let upstreams = world.upstreams.lock().await;
             let Some(running) = &upstreams[position] else {
@@ -249,7 +249,7 @@
     }
 
     async fn strike_link(self, world: &Arc<World>) {
-        let link = &world.links[self.target % positions()];
+        let link = &world.links[self.target % world.size.upstreams()];
         match self.kind {
             Kind::LinkDelayed => {
                 let delay_ms = 5 + u64::try_from(self.variant % 200).unwrap();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -125,13 +125,18 @@
 
     /// Kills the process; an error if it had ended by itself.
     pub async fn kill(&self) -> Result<(), String> {
-        let Some(mut child) = self.child.lock().await.take() else {
+        // Held until the process is gone, so that none starts beside it.
+        let mut held = self.child.lock().await;
+        let Some(child) = held.as_mut() else {
             return Ok(());
         };
-        if let Ok(Some(status)) = child.try_wait() {
-            return Err(format!("{} ended by itself: {status}", self.name));
+        let ended = child.try_wait().map_err(|error| error.to_string())?;
+        let killed = child.kill().await.map_err(|error| error.to_string());
+        *held = None;
+        match ended {
+            Some(status) => Err(format!("{} ended by itself: {status}", self.name)),
+            None => killed,
         }
-        child.kill().await.map_err(|error| error.to_string())
     }
 
     /// Stops the process as planned; an error if it does not end well in time.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use tokio::sync::watch;
@@ -19,8 +19,9 @@
 pub const SERVICES: [&str; 2] = ["bins", "bookings"];
 /// Data centres of gateways and upstreams.
 pub const DATA_CENTRES: [&str; 2] = ["a", "b"];
-/// Upstreams of each service in each data centre.
-const UPSTREAMS_EACH: usize = 2;
+/// Callers for whom one more upstream of each service stands in each data
+/// centre; they take less than half of what the upstreams bear.
+const CALLERS_EACH: usize = 10;
 const STORE_PORT: u16 = 7000;
 const STORE_PROXY_PORT: u16 = 7100;
 const UPSTREAM_PORT: u16 = 7300;
@@ -34,6 +35,14 @@
     pub faults_s: u64,
 }
 
+impl Size {
+    /// Number of upstreams.
+    pub fn upstreams(&self) -> usize {
+        let each = 1 + self.callers.div_ceil(CALLERS_EACH);
+        SERVICES.len() * DATA_CENTRES.len() * each
+    }
+}
+
 /// Time in which a gateway, or all of them, may be out of touch.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -78,7 +87,7 @@
     started: Instant,
     host: [u8; 4],
     folder: PathBuf,
-    lives: AtomicU8,
+    lives: AtomicUsize,
     disturbances: Mutex<Vec<Disturbance>>,
     versions: Mutex<Vec<Version>>,
     outs: Mutex<Vec<Out>>,
@@ -112,7 +121,7 @@
             ));
         }
         let mut links = Vec::new();
-        for position in 0..positions() {
+        for position in 0..size.upstreams() {
             let from = SocketAddr::from((host, port(UPSTREAM_PROXY_PORT, position)));
             let to = SocketAddr::from((host, port(UPSTREAM_PORT, position)));
             links.push(Proxy::start(from, to).await);
@@ -128,7 +137,7 @@
             started: Instant::now(),
             host,
             folder,
-            lives: AtomicU8::new(0),
+            lives: AtomicUsize::new(0),
             disturbances: Mutex::default(),
             versions: Mutex::default(),
             outs: Mutex::default(),
@@ -136,7 +145,7 @@
             stopping: watch::Sender::new(false),
         });
         world.publish();
-        for position in 0..positions() {
+        for position in 0..size.upstreams() {
             let running = Running::start(&world, world.place(position), false).await;
             world.upstreams.lock().await.push(Some(running));
         }
@@ -155,7 +164,7 @@
     /// A new upstream in a position.
     pub fn place(&self, position: usize) -> Place {
         let life = self.lives.fetch_add(1, Ordering::Relaxed);
-        let each = DATA_CENTRES.len() * UPSTREAMS_EACH;
+        let each = self.size.upstreams() / SERVICES.len();
         Place {
             id: format!("up-{position}-{life}"),
             service: SERVICES[position / each],
@@ -297,11 +306,6 @@
     }
 }
 
-/// Number of upstreams.
-pub fn positions() -> usize {
-    SERVICES.len() * DATA_CENTRES.len() * UPSTREAMS_EACH
-}
-
 pub fn port(first: u16, number: usize) -> u16 {
     first + u16::try_from(number).unwrap()
 }
