Ask elsewhere in the last round, and bound the pull of many near upstreams

Change: the number raises the weight six times at most; the last round is drawn from all data centres alike.

--- a/benches/policies/ways.rs
+++ b/benches/policies/ways.rs
@@ -8,7 +8,7 @@
 use chicorywing::decision::cold_share::{ColdBound, ColdShare};
 use chicorywing::decision::condition::{Condition, Evidence};
 use chicorywing::decision::selection::{
-    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, is_settled, shortlist,
+    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, draw, is_settled, shortlist,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -152,13 +152,15 @@
                 failure_share: condition.failure_share(),
             });
         }
-        let (count, first) = match self.way {
-            Way::ProbeOfTwo => (2, 2),
-            _ => (PROBE_ROUNDS.iter().sum(), PROBE_ROUNDS[0]),
-        };
         let near = candidates.iter().filter(|candidate| candidate.is_near);
         let nearness = Nearness::new(BYTES, near.count());
-        let drawn = shortlist(&candidates, nearness, count, &mut self.random);
+        let (drawn, first) = match self.way {
+            Way::ProbeOfTwo => (shortlist(&candidates, nearness, 2, &mut self.random), 2),
+            _ => (
+                draw(&candidates, nearness, &mut self.random),
+                PROBE_ROUNDS[0],
+            ),
+        };
         let drawn: Vec<usize> = drawn.into_iter().map(|index| usable[index]).collect();
         let asked = first.min(drawn.len());
         let asking = Asking {
--- a/src/decision/selection.rs
+++ b/src/decision/selection.rs
@@ -12,6 +12,9 @@
 /// Upstreams in the own data centre that double that weight once more: among
 /// many of them, one is idle as likely as among all.
 const NEAR_ENOUGH: f64 = 8.0;
+/// Most by which their number raises that weight, so that some of those that
+/// are asked stand elsewhere also where hundreds stand near.
+const NEAR_CHOICE_MAX: f64 = 6.0;
 /// Weight of an upstream to which a connection stands; a new one takes its time.
 const CONNECTED_WEIGHT: f64 = 4.0;
 /// Factor on the cost of an upstream in another data centre.
@@ -68,7 +71,7 @@
     pub fn new(bytes: f64, near_upstreams: usize) -> Self {
         let kilobytes = bytes / 1_000.0;
         let near = f64::from(u32::try_from(near_upstreams).unwrap_or(u32::MAX));
-        let choice = 1.0 + near / NEAR_ENOUGH;
+        let choice = (1.0 + near / NEAR_ENOUGH).min(NEAR_CHOICE_MAX);
         Self {
             weight: choice * (NEAR_WEIGHT + NEAR_WEIGHT_PER_KB * kilobytes),
             far_cost: FAR_COST + FAR_COST_PER_KB * kilobytes,
@@ -87,6 +90,31 @@
     pub failure_share: f64,
 }
 
+/// Draws the candidates that are asked for one request, round by round.
+///
+/// The last round is for when nobody so far would answer in time; it is drawn
+/// from all data centres alike, since what fills the near upstreams up mostly
+/// fills all of them.
+pub fn draw(candidates: &[Candidate], nearness: Nearness, random: &mut impl Rng) -> Vec<usize> {
+    let [first, second, last] = PROBE_ROUNDS;
+    let mut drawn = shortlist(candidates, nearness, first + second, random);
+    let mut rest = Vec::with_capacity(candidates.len());
+    for index in 0..candidates.len() {
+        if !drawn.contains(&index) {
+            rest.push(index);
+        }
+    }
+    let others: Vec<Candidate> = rest.iter().map(|index| candidates[*index]).collect();
+    let anywhere = Nearness {
+        weight: 1.0,
+        ..nearness
+    };
+    for position in shortlist(&others, anywhere, last, random) {
+        drawn.push(rest[position]);
+    }
+    drawn
+}
+
 /// Draws up to `count` different candidates, near and sound ones rather.
 pub fn shortlist(
     candidates: &[Candidate],
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -14,7 +14,7 @@
 use crate::connection::exchange::Connection;
 use crate::decision::directory::Upstream;
 use crate::decision::selection::{
-    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, is_settled, shortlist,
+    Candidate, Nearness, PROBE_ROUNDS, Reading, cost, draw, is_settled,
 };
 
 /// Time for which further readings are awaited after the first one.
@@ -75,8 +75,7 @@
     }
     let near = candidates.iter().filter(|candidate| candidate.is_near);
     let nearness = Nearness::new(gateway.means(&call.route).bytes, near.count());
-    let probes = PROBE_ROUNDS.iter().sum();
-    let drawn = shortlist(&candidates, nearness, probes, &mut rand::rng());
+    let drawn = draw(&candidates, nearness, &mut rand::rng());
     let health_path = gateway
         .manifest()
         .and_then(|manifest| Some(Arc::clone(&manifest.services.get(service)?.health_path)));
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -13,7 +13,7 @@
 use chicorywing::decision::readers::{Choice, Standing, choose};
 use chicorywing::decision::repeats::{RepeatBound, Repeats};
 use chicorywing::decision::selection::{
-    Candidate, Load, Nearness, Reading, cost, is_good_enough, shortlist,
+    Candidate, Load, Nearness, Reading, cost, draw, is_good_enough, shortlist,
 };
 use chicorywing::decision::split::Splits;
 use googletest::prelude::*;
@@ -572,6 +572,38 @@
     expect_that!(near_share(1, 5), le(0.5));
 }
 
+/// Share of requests for which somebody far is among those that are asked.
+fn far_asked_share(near: usize, far: usize) -> f64 {
+    let mut candidates = Vec::new();
+    for number in 0..near + far {
+        candidates.push(Candidate {
+            is_near: number < near,
+            is_connected: false,
+            failure_share: 0.0,
+        });
+    }
+    let nearness = Nearness::new(400.0, near);
+    let mut random = StdRng::seed_from_u64(7);
+    let mut asked = 0;
+    for _ in 0..1_000 {
+        let drawn = draw(&candidates, nearness, &mut random);
+        asked += u32::from(drawn.iter().any(|index| *index >= near));
+        let mut once = drawn.clone();
+        once.sort_unstable();
+        once.dedup();
+        assert_that!(once.len(), eq(6));
+    }
+    f64::from(asked) / 1_000.0
+}
+
+#[gtest]
+fn a_request_that_finds_the_near_upstreams_full_asks_elsewhere() {
+    // A third of the upstreams stands near: cold after a return, or in a burst.
+    expect_that!(far_asked_share(333, 666), ge(0.9));
+    expect_that!(far_asked_share(43, 128), ge(0.9));
+    expect_that!(far_asked_share(4, 8), ge(0.9));
+}
+
 proptest! {
     /// Whatever comes and goes, a service lists just its upstreams that take
     /// work, by their names.
