Log whether an upstream ended when it closed a request's connection

Cause: lost answers, cut connections and ended upstreams had the same line and the same evidence, so the hypotheses of the incident could not be told apart. A new connection right after the failure shows whether a process still listens; the line names the request's fingerprint, the upstream's lifetime and what the check showed. Counter: upstream_ends_total.

No decision changes.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod cold_limiter;
+pub mod crash_suspects;
 pub mod directory;
 pub mod ejection;
 pub mod manifest;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,8 @@
 //! [`store::Platform`] defines the record formats and header names.
 
 pub mod calls;
+pub mod crash_evidence;
+pub mod fingerprint;
 pub mod follower;
 pub mod forward;
 pub mod logging;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -1,8 +1,8 @@
 //! Reads a caller's request, finds its route and buffers its body.
 
 use std::pin::pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -12,8 +12,10 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::fingerprint::fingerprint;
 use super::outcome::{Outcome, Reason, remove_hop_by_hop_headers};
 use super::store::HeaderNames;
+use crate::decision::crash_suspects::Fingerprint;
 use crate::decision::manifest::{Manifest, Route};
 
 /// Retry delay for callers refused because no version is known yet.
@@ -101,6 +103,8 @@
     pub arrived: Instant,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: Instant,
+    /// Cache of [`Call::fingerprint`].
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -116,6 +120,12 @@
         to_ms(self.arrived.elapsed())
     }
 
+    /// Identifies the request across its repetitions.
+    #[must_use]
+    pub fn fingerprint(&self, names: &HeaderNames) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| fingerprint(self, names))
+    }
+
     /// The request id for log lines; see [`id_text`].
     #[must_use]
     pub fn id_text(&self) -> &str {
@@ -185,6 +195,7 @@
         version: manifest.version,
         arrived,
         deadline,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub connections_opened: Counter,
     /// Times that an upstream was ejected.
     pub ejections: Counter,
+    /// Upstreams that ended while a request of this instance was in flight there.
+    pub upstream_ends: Counter,
     store_calls: EndCounters,
     /// Version of the manifest in use.
     pub version: Gauge<u64, AtomicU64>,
@@ -83,6 +85,7 @@
             probes_failed: Counter::default(),
             connections_opened: Counter::default(),
             ejections: Counter::default(),
+            upstream_ends: Counter::default(),
             store_calls: EndCounters::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
@@ -114,6 +117,8 @@
         let opened = self.connections_opened.clone();
         registry.register("connections_opened", "Connections to upstreams", opened);
         registry.register("ejections", "Upstreams ejected", self.ejections.clone());
+        let ends = self.upstream_ends.clone();
+        registry.register("upstream_ends", "Upstreams ended under a request", ends);
         let calls = self.store_calls.clone();
         registry.register("store_calls", "Calls to the store by how they ended", calls);
         registry.register("version", "Version in force", self.version.clone());
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Call, to_ms};
+use super::crash_evidence;
 use super::outcome::Reason;
 use super::probing::{ProbedUpstream, describe};
 use super::state::{Gateway, RouteMeans};
@@ -108,6 +109,7 @@
         }
         Ok(Err(error)) => {
             on_exchange_error(gateway, call, &client, &error);
+            crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
         Err(_) => {
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -14,6 +14,7 @@
 use super::metrics::Metrics;
 use super::store::HeaderNames;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
+use crate::decision::crash_suspects::UpstreamLifetime;
 use crate::decision::directory::{Directory, UpstreamReport};
 use crate::decision::ejection::{EjectionState, Evidence};
 use crate::decision::selection::{Load, Reading, USUAL_SPEED_PERCENT};
@@ -23,6 +24,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a probe, including a new connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of the connection that shows whether an upstream still listens; longer
+/// waits would delay the retry of a request whose connection was closed.
+const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 /// Idle connections kept per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 3;
 /// Cold time assumed if an upstream reports an invalid one; any above 0 makes it
@@ -48,6 +52,18 @@
     WrongUpstream,
 }
 
+/// What a new connection shows about the process behind an upstream's address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ListenState {
+    /// The connection was refused: no process listens.
+    Refused,
+    /// The connection was accepted.
+    Accepted,
+    /// The attempt timed out or failed for another reason.
+    Unknown,
+}
+
 /// Client of one upstream process.
 #[derive(Debug)]
 pub struct UpstreamClient {
@@ -104,6 +120,31 @@
         None
     }
 
+    /// The upstream process that this client belongs to.
+    #[must_use]
+    pub fn lifetime(&self) -> UpstreamLifetime {
+        UpstreamLifetime {
+            upstream: Arc::clone(&self.id),
+            started_at_ms: self.started_at_ms,
+        }
+    }
+
+    /// Opens a connection to find out whether the upstream still listens, and keeps
+    /// it for reuse.
+    pub async fn check_listens(&self, metrics: &Metrics) -> ListenState {
+        metrics.connections_opened.inc();
+        match Connection::open(self.address, LISTEN_CHECK_TIMEOUT).await {
+            Ok(connection) => {
+                self.release(connection);
+                ListenState::Accepted
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                ListenState::Refused
+            }
+            Err(_) => ListenState::Unknown,
+        }
+    }
+
     /// Puts a connection back for reuse, unless it is unusable or enough are idle.
     pub fn release(&self, connection: Connection) {
         if !connection.is_usable() {
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -1,7 +1,7 @@
 //! Tests of how a request is forwarded to upstreams that misbehave: which one gets
 //! it, whether it is retried, and what the caller gets.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,6 +58,7 @@
         version: 1,
         arrived,
         deadline: arrived + Duration::from_millis(route.timeout_ms),
+        fingerprint: OnceLock::new(),
     }
 }
 
