Reproduce the incident: requests that end their upstreams are sent again

Seven tests of a fleet of four instances over loopback, with upstreams that end when they begin to run a certain request and are back after 1.5 s.

--- /dev/null
+++ b/tests/gateway/crashing_requests.rs
@@ -0,0 +1,313 @@
+//! Requests that end the upstreams that run them. Instances and upstreams talk over
+//! loopback, so these tests run on the real clock.
+
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
+use chicorywing::gateway::forward::forward;
+use chicorywing::gateway::outcome::Outcome;
+use chicorywing::gateway::settings::Settings;
+use chicorywing::gateway::store::Stream;
+use futures::future::join_all;
+use googletest::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use tokio::time::{Instant, sleep};
+
+use super::fake::{FakeStore, Mode, TestInstance, own_address, route, settings, within};
+use super::fragile::FragileUpstream;
+
+/// Ends of upstreams after which the users expect a request to be stopped.
+const ENDS_TO_KNOW: usize = 3;
+/// Pause after which the caller sends its request again.
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+const POISON_BODY: &str = "poison";
+
+struct Fleet {
+    store: Arc<FakeStore>,
+    instances: Vec<TestInstance>,
+    upstreams: Vec<Arc<FragileUpstream>>,
+}
+
+impl Fleet {
+    /// Starts instances in two data centres, and upstreams that all of them know.
+    async fn start(instances: usize, upstreams: usize) -> Self {
+        let store = FakeStore::new();
+        store.write(Stream::Operator, "config", Some("1"));
+        let mut fleet = Self {
+            store,
+            instances: Vec::new(),
+            upstreams: Vec::new(),
+        };
+        for number in 0..upstreams {
+            let id = format!("up-{number}");
+            let upstream = FragileUpstream::start(&fleet.store, &id).await;
+            fleet.upstreams.push(upstream);
+        }
+        for number in 0..instances {
+            fleet.add_instance(&format!("gate-{number}")).await;
+        }
+        let all_know_all = || {
+            fleet.instances.iter().all(|instance| {
+                let view = instance.gateway.view();
+                view.instances.len() == instances && view.directory.len() == upstreams
+            })
+        };
+        within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
+        fleet
+    }
+
+    async fn add_instance(&mut self, name: &str) {
+        let mut seeds = Vec::new();
+        for instance in &self.instances {
+            seeds.push(instance.gateway.settings().peer_address);
+        }
+        let settings = Settings {
+            data_centre: ["dc-a", "dc-b"][self.instances.len() % 2].into(),
+            ..settings(name, own_address(), &seeds)
+        };
+        let instance = TestInstance::start(&self.store, settings).await;
+        self.instances.push(instance);
+    }
+
+    /// Replaces the process of an instance by a new one that knows nothing yet.
+    async fn restart(&mut self, number: usize) {
+        let mut settings = (*self.instances[number].gateway.settings()).clone();
+        settings.seeds.clear();
+        for instance in &self.instances {
+            settings
+                .seeds
+                .push(instance.gateway.settings().peer_address);
+        }
+        settings.seeds.retain(|seed| *seed != settings.peer_address);
+        self.instances.remove(number);
+        let instance = TestInstance::start(&self.store, settings).await;
+        self.instances.insert(number, instance);
+    }
+
+    async fn wait_ready(&self, number: usize) {
+        let gateway = &self.instances[number].gateway;
+        within(SETTLE_TIMEOUT, "the instance is ready", || {
+            gateway.is_ready()
+        })
+        .await;
+    }
+
+    fn ends(&self) -> usize {
+        self.upstreams.iter().map(|upstream| upstream.ends()).sum()
+    }
+
+    /// Sends a request as one attempt of its caller, and returns the status.
+    async fn send(&self, instance: usize, call: &Call) -> u16 {
+        let gateway = &self.instances[instance % self.instances.len()].gateway;
+        status(&forward(gateway, call).await)
+    }
+
+    /// Sends the same request again and again, each time through another instance.
+    async fn send_repeatedly(&self, route: &Route, body: &str, attempts: usize) -> Vec<u16> {
+        let mut statuses = Vec::new();
+        for attempt in 0..attempts {
+            statuses.push(self.send(attempt, &call(route, body)).await);
+            sleep(RESEND_PAUSE).await;
+        }
+        statuses
+    }
+}
+
+fn status(outcome: &Outcome) -> u16 {
+    outcome.status().as_u16()
+}
+
+/// A request with an id of its own; the body names what the caller asks for.
+fn call(route: &Route, body: &str) -> Call {
+    let mut headers = HeaderMap::new();
+    let id = HeaderValue::from_str(&format!("call-{}", rand::random::<u64>())).unwrap();
+    headers.insert("t-id", id.clone());
+    let arrived = Instant::now();
+    Call {
+        id: Some(id),
+        method: Method::POST,
+        target: "/path".to_owned(),
+        headers,
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        reservation: BodyReservation::new(&BodyMemory::new(1_000_000)),
+        route: Arc::new(route.clone()),
+        version: 1,
+        arrived,
+        deadline: arrived + Duration::from_millis(route.timeout_ms),
+        fingerprint: OnceLock::new(),
+    }
+}
+
+fn non_idempotent_route() -> Route {
+    Route {
+        is_idempotent: false,
+        ..route()
+    }
+}
+
+// Guards against retries of an idempotent request ending one upstream after another.
+#[gtest]
+#[tokio::test]
+async fn an_idempotent_request_that_ends_its_upstreams_is_stopped() {
+    let fleet = Fleet::start(4, 8).await;
+
+    let statuses = fleet.send_repeatedly(&route(), POISON_BODY, 20).await;
+
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+    expect_that!(statuses[19], eq(503));
+}
+
+// Guards against each attempt of a non-idempotent request ending one more upstream.
+#[gtest]
+#[tokio::test]
+async fn a_non_idempotent_request_that_ends_its_upstreams_is_stopped() {
+    let fleet = Fleet::start(4, 8).await;
+
+    let route = non_idempotent_route();
+    let statuses = fleet.send_repeatedly(&route, POISON_BODY, 20).await;
+
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+    expect_that!(statuses[..3], each(eq(&502)));
+    expect_that!(statuses[3..], each(eq(&503)));
+}
+
+// Guards against copies that arrive together each being retried on further upstreams.
+#[gtest]
+#[tokio::test]
+async fn copies_sent_together_end_no_more_upstreams_than_their_first_runs() {
+    let fleet = Fleet::start(4, 10).await;
+
+    for _ in 0..5 {
+        let calls = [0; 4].map(|_| call(&route(), POISON_BODY));
+        let sends = calls.iter().enumerate();
+        join_all(sends.map(|(instance, call)| fleet.send(instance, call))).await;
+        sleep(RESEND_PAUSE).await;
+    }
+
+    // Nothing is known until the first copies have ended their upstreams.
+    expect_that!(fleet.ends(), le(4));
+}
+
+// Guards against stopping requests of the same route and caller whose body differs.
+#[gtest]
+#[tokio::test]
+async fn ordinary_requests_beside_it_are_served() {
+    let fleet = Fleet::start(4, 8).await;
+
+    let ordinary = async {
+        let mut served = 0;
+        for number in 0..200 {
+            let call = call(&route(), &format!("ordinary {}", number % 20));
+            served += usize::from(fleet.send(number, &call).await == 200);
+            sleep(Duration::from_millis(5)).await;
+        }
+        served
+    };
+    let route = route();
+    let (served, _) = tokio::join!(ordinary, fleet.send_repeatedly(&route, POISON_BODY, 20));
+
+    expect_that!(served, eq(200));
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+}
+
+// Guards against stopping another caller's request with the same path and body.
+#[gtest]
+#[tokio::test]
+async fn the_same_request_of_another_caller_is_served() {
+    let fleet = Fleet::start(4, 8).await;
+    let call_of = |caller: &'static str| {
+        let mut call = call(&route(), "same");
+        let header = HeaderName::from_static("x-caller");
+        call.headers
+            .insert(header, HeaderValue::from_static(caller));
+        call
+    };
+
+    let mut served = 0;
+    for attempt in 0..20 {
+        fleet.send(attempt, &call_of("poison-caller")).await;
+        served += usize::from(fleet.send(attempt + 1, &call_of("other")).await == 200);
+    }
+
+    expect_that!(served, eq(20));
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+}
+
+// Guards against stopping a request because upstreams end for other reasons while it runs.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_is_answered_is_not_stopped_when_upstreams_end() {
+    let fleet = Fleet::start(4, 12).await;
+    let route = Route {
+        attempts: 3,
+        ..route()
+    };
+
+    let mut served = 0;
+    for round in 0..60 {
+        let calls = [0; 8].map(|_| call(&route, "popular"));
+        let sends = calls.iter().enumerate();
+        let sends = join_all(sends.map(|(instance, call)| fleet.send(instance, call)));
+        let end = async {
+            sleep(Duration::from_millis(10)).await;
+            if round % 5 == 0 {
+                fleet.upstreams[round / 5].end();
+            }
+        };
+        let (statuses, ()) = tokio::join!(sends, end);
+        served += statuses.iter().filter(|status| **status == 200).count();
+        sleep(Duration::from_millis(60)).await;
+    }
+
+    expect_that!(fleet.ends(), ge(10));
+    expect_that!(served, eq(60 * 8));
+}
+
+// Guards against instances that restart in turn forgetting a stopped request.
+#[gtest]
+#[tokio::test]
+async fn restarted_instances_know_a_stopped_request_while_the_store_is_away() {
+    let mut fleet = Fleet::start(4, 8).await;
+    fleet.send_repeatedly(&route(), POISON_BODY, 4).await;
+    fleet.store.set_mode(Mode::Refusing);
+
+    for number in 0..4 {
+        fleet.restart(number).await;
+        fleet.wait_ready(number).await;
+        let status = fleet.send(number, &call(&route(), POISON_BODY)).await;
+        expect_that!(status, eq(503));
+    }
+
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+}
+
+// Guards against a loss of all instances at once losing what they knew.
+#[gtest]
+#[tokio::test]
+async fn the_store_keeps_stopped_requests_when_all_instances_end() {
+    let mut fleet = Fleet::start(4, 8).await;
+    fleet.send_repeatedly(&route(), POISON_BODY, 4).await;
+    // The record must be in the store within the platform's bound on a change.
+    sleep(Duration::from_secs(2)).await;
+
+    let settings: Vec<Settings> = fleet
+        .instances
+        .drain(..)
+        .map(|instance| (*instance.gateway.settings()).clone())
+        .collect();
+    for settings in settings {
+        let instance = TestInstance::start(&fleet.store, settings).await;
+        fleet.instances.push(instance);
+    }
+    for number in 0..4 {
+        fleet.wait_ready(number).await;
+        let status = fleet.send(number, &call(&route(), POISON_BODY)).await;
+        expect_that!(status, eq(503));
+    }
+
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+}
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -13,7 +14,9 @@
 use chicorywing::gateway::store::{
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
+use chicorywing::gateway::{follower, reader_role, relay};
 use http::HeaderName;
+use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -269,18 +272,29 @@
         )))))
     }
 
-    /// The value of a report is the upstream's state.
+    /// The value of a report is the upstream's state, and optionally its address and
+    /// the start of its process.
     fn parse_upstream_report(
         &self,
         key: &str,
         value: &[u8],
     ) -> std::result::Result<UpstreamReport, RecordError> {
-        let state = match value {
-            b"ready" => UpstreamState::Ready,
-            b"draining" => UpstreamState::Draining,
+        let text = String::from_utf8_lossy(value);
+        let mut fields = text.split(' ');
+        let state = match fields.next() {
+            Some("ready") => UpstreamState::Ready,
+            Some("draining") => UpstreamState::Draining,
             _ => return Err(RecordError("its state is unknown".to_owned())),
         };
-        Ok(report(key, SocketAddr::from(([127, 0, 0, 1], 9)), state))
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let address = fields
+            .next()
+            .map_or(nowhere, |address| address.parse().unwrap());
+        let started_at_ms = fields.next().map_or(1, |time| time.parse().unwrap());
+        Ok(UpstreamReport {
+            started_at_ms,
+            ..report(key, address, state)
+        })
     }
 }
 
@@ -364,6 +378,59 @@
     Gateway::new(FakePlatform::new(store), settings("gate-1", peer, &[]))
 }
 
+/// An address that no other test uses, since its host belongs to this call alone.
+pub fn own_address() -> SocketAddr {
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 64 | (high & 63), low, host], 7_200))
+}
+
+/// An instance on a runtime of its own, which ends with it like a killed process.
+pub struct TestInstance {
+    pub gateway: Arc<Gateway<FakePlatform>>,
+    runtime: Option<Runtime>,
+}
+
+impl TestInstance {
+    /// Starts the tasks that read the store and talk to other instances.
+    pub async fn start(store: &Arc<FakeStore>, settings: Settings) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let gateway = Gateway::new(FakePlatform::new(store), settings);
+        let started = runtime.spawn(start_tasks(Arc::clone(&gateway)));
+        started.await.unwrap();
+        Self {
+            gateway,
+            runtime: Some(runtime),
+        }
+    }
+}
+
+async fn start_tasks(gateway: Arc<Gateway<FakePlatform>>) {
+    // The previous process at this address may not have closed its listener yet.
+    while relay::listen(Arc::clone(&gateway)).await.is_err() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
+        tokio::spawn(follower::follow(Arc::clone(&gateway), stream));
+    }
+    tokio::spawn(follower::check_long_polls(Arc::clone(&gateway)));
+    tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
+    tokio::spawn(reader_role::run(gateway));
+}
+
+impl Drop for TestInstance {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// Waits until `holds` returns true; panics after `limit`.
 pub async fn within(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
     let wait = async {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the gateway with a fake platform and fake upstreams that misbehave.
 
 mod call_forwarding;
+mod crashing_requests;
 mod fake;
 mod follower;
+mod fragile;
 mod outcomes;
 mod reader_role;
 mod server;
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -215,13 +215,13 @@
     }
 }
 
-fn id_line(head: &str) -> String {
+pub fn id_line(head: &str) -> String {
     let line = head.lines().find(|line| line.starts_with("t-id: "));
     line.map_or_else(String::new, |line| format!("{line}\r\n"))
 }
 
 /// Reads one request with its body; `None` at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = Vec::new();
     let mut byte = [0];
     while !text.ends_with(b"\r\n\r\n") {
