Stop requests under which three upstreams ended, over the whole fleet

Cause: an end was a failure like any other, retried inside the attempt, remembered nowhere and told to nobody.

A closed connection counts as an end only if nothing listens at the address right after, or a new process started there at that moment. The end is held against the request's fingerprint: what the gateway forwards, without the headers that change with each attempt. Instances tell each other at once and with the records they fetch; the readers put stopped requests into the store. A suspect runs at one place at a time, by a permit of the instance that rendezvous hashing names; an answer refutes the suspicion; ends that a stopped request accounts for are not held against its bystanders. One trial after 5 min, later ones after twice the time.

Readiness now also needs the stopped requests: the stream of instances, an answer of another instance, or 3 s. The readiness test checks both.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -10,6 +10,7 @@
 pub mod probe_budget;
 pub mod rendezvous;
 pub mod retry_budget;
+pub mod run_permits;
 pub mod selection;
 pub mod store_reader;
 pub mod traffic_split;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,6 +12,7 @@
 use super::calls::Call;
 use super::outcome::{Outcome, Reason};
 use super::probing::{ProbedUpstream, describe, probe_candidates, take_best};
+use super::run_permit::{self, Denial};
 use super::sending::{SendOutcome, send};
 use super::state::Gateway;
 use super::store::Platform;
@@ -27,7 +28,8 @@
 /// Forwards a request and returns the final response.
 ///
 /// A request that may have run is sent again only if its route is idempotent.
-/// Retries stay within the route's attempts and the service's retry budget.
+/// Retries stay within the route's attempts and the service's retry budget. A request
+/// under which upstreams ended runs only with a permit, and finally not at all.
 pub async fn forward<P: Platform>(gateway: &Arc<Gateway<P>>, call: &Call) -> Outcome {
     let Some(service) = gateway.pick_service(&call.route) else {
         return Outcome::refused(Reason::NoUpstream, call.left_ms() / 4);
@@ -36,14 +38,23 @@
     let mut history = AttemptHistory::default();
     let mut last_response: Option<Outcome> = None;
     loop {
+        let permit = match run_permit::acquire(gateway, call).await {
+            Ok(permit) => permit,
+            Err(denial) => return history.correct_refusal(denied(gateway, call, denial)),
+        };
         let chosen = match choose_upstream(gateway, call, &service, &history).await {
             Ok(chosen) => chosen,
             Err(refusal) => {
                 return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
             }
         };
+        if !permit.is_valid(call) {
+            chosen.client.release(chosen.connection);
+            continue;
+        }
         history.tried.push(Arc::clone(&chosen.upstream.report.id));
         let sent = send(gateway, call, chosen).await;
+        drop(permit);
         let outcome = match sent {
             SendOutcome::Answered(response) => {
                 let is_final = !call.route.is_idempotent || !response.status.is_server_error();
@@ -83,11 +94,25 @@
                 reason: Reason::LateUnsent,
                 ..
             } => Outcome::gateway_error(Reason::Late),
+            Outcome::GatewayError {
+                reason: Reason::CrashesUpstreams,
+                retry_after,
+            } => Outcome::GatewayError {
+                reason: Reason::UpstreamFailed,
+                retry_after,
+            },
             _ => Outcome::gateway_error(Reason::UpstreamFailed),
         }
     }
 }
 
+fn denied<P: Platform>(gateway: &Gateway<P>, call: &Call, denial: Denial) -> Outcome {
+    match denial {
+        Denial::Stopped { left_ms } => Outcome::refused(Reason::CrashesUpstreams, left_ms),
+        Denial::CopyRunning => Outcome::refused(Reason::CopyRunning, retry_after_ms(gateway, call)),
+    }
+}
+
 /// Whether another attempt is allowed; takes a retry from the budget if so.
 fn take_retry<P: Platform>(
     gateway: &Gateway<P>,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,10 @@
     pub ejections: Counter,
     /// Upstreams that ended while a request of this instance was in flight there.
     pub upstream_ends: Counter,
+    /// Contents of requests under which upstreams ended.
+    pub suspects: Gauge<u64, AtomicU64>,
+    /// Contents with a stopped request.
+    pub stopped_requests: Gauge<u64, AtomicU64>,
     store_calls: EndCounters,
     /// Version of the manifest in use.
     pub version: Gauge<u64, AtomicU64>,
@@ -86,6 +90,8 @@
             connections_opened: Counter::default(),
             ejections: Counter::default(),
             upstream_ends: Counter::default(),
+            suspects: Gauge::default(),
+            stopped_requests: Gauge::default(),
             store_calls: EndCounters::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
@@ -119,6 +125,9 @@
         registry.register("ejections", "Upstreams ejected", self.ejections.clone());
         let ends = self.upstream_ends.clone();
         registry.register("upstream_ends", "Upstreams ended under a request", ends);
+        let stopped = self.stopped_requests.clone();
+        registry.register("stopped_requests", "Requests stopped", stopped);
+        registry.register("suspects", "Suspect requests", self.suspects.clone());
         let calls = self.store_calls.clone();
         registry.register("store_calls", "Calls to the store by how they ended", calls);
         registry.register("version", "Version in force", self.version.clone());
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -32,6 +32,10 @@
     NoRoom,
     /// Every upstream that was tried refused the request without running it.
     Refused,
+    /// Upstreams ended while they ran the request, so it is not run again.
+    CrashesUpstreams,
+    /// Upstreams ended while they ran the request, and a copy of it is running.
+    CopyRunning,
     /// The deadline passed before the request was sent to an upstream.
     LateUnsent,
     /// No response came in time after the request was sent, so it may have run.
@@ -51,6 +55,8 @@
             | Self::NoUpstream
             | Self::NoRoom
             | Self::Refused
+            | Self::CrashesUpstreams
+            | Self::CopyRunning
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -177,7 +177,7 @@
         wait: Duration,
     ) -> Result<bool, RelayError> {
         let open = self.client.take().filter(|open| open.address() == address);
-        let client = match open {
+        let mut client = match open {
             Some(open) => open,
             None => PeerClient::connect(address).await?,
         };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,8 +1,10 @@
-//! RPC by which instances fetch store records from each other.
+//! RPC by which instances fetch store records from each other and share what they
+//! know of requests that end upstreams.
 //!
 //! Records keep their offsets in the store's streams, so any instance can serve
 //! them. [`super::reader_role`] decides which peer an instance fetches from.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,10 +17,12 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use thiserror::Error;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
+use crate::decision::crash_suspects::{Scope, SuspectReport};
+use crate::decision::rendezvous::weight;
 
 /// Time in which a peer must accept a connection or, beyond the wait of a long
 /// poll, respond.
@@ -28,6 +32,16 @@
 /// Streams that instances fetch from each other.
 const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
 
+/// Time in which a peer must respond to a request for a run permit.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Most reports of suspects in one response.
+const MAX_REPORTS: usize = 256;
+/// Instances that are told of a suspect directly; beyond that, the readers of the data
+/// centres and as many others, and these tell theirs.
+const MAX_DIRECT_PEERS: usize = 16;
+/// Delay before a peer that could not be told is told once more.
+const PUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// How far an instance has read a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamPosition {
@@ -56,14 +70,46 @@
     /// Time for which removed entries may only have lapsed while the store was
     /// unreachable, in milliseconds.
     pub lapses_left_ms: u64,
+    /// Suspect requests that changed after the requester's position, at most 256.
+    pub suspects: Vec<SuspectReport>,
+    /// Position after them.
+    pub suspects_position: u64,
+}
+
+/// Response to [`Relay::acquire_run`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitResponse {
+    /// Whether the requester may run the request.
+    pub is_granted: bool,
+    /// What the responding instance knows of the request.
+    pub reports: Vec<SuspectReport>,
 }
 
 /// Calls between instances of the gateway.
 #[tarpc::service]
 pub trait Relay {
-    /// Returns the records that the requester lacks; a long poll that waits up
-    /// to `wait_ms` for the first one if this instance reads the store.
-    async fn records(positions: Vec<StreamPosition>, wait_ms: u64) -> RecordsResponse;
+    /// Returns the records and suspects that the requester lacks; a long poll that
+    /// waits up to `wait_ms` for the first one if this instance reads the store.
+    async fn records(
+        positions: Vec<StreamPosition>,
+        suspects_position: u64,
+        wait_ms: u64,
+    ) -> RecordsResponse;
+
+    /// Tells this instance of suspect requests.
+    async fn report_suspects(reports: Vec<SuspectReport>);
+
+    /// Asks for the only permit to run the requests of a scope, valid for
+    /// `lifetime_ms`. `report` is what the requester knows of them.
+    async fn acquire_run(
+        scope: Scope,
+        token: u64,
+        lifetime_ms: u64,
+        report: Option<SuspectReport>,
+    ) -> PermitResponse;
+
+    /// Gives a permit back, with what the run has shown.
+    async fn release_run(scope: Scope, token: u64, report: Option<SuspectReport>);
 }
 
 /// Why records could not be fetched from a peer.
@@ -97,26 +143,70 @@
         self,
         _: context::Context,
         positions: Vec<StreamPosition>,
+        suspects_position: u64,
         wait_ms: u64,
     ) -> RecordsResponse {
         let gateway = &self.gateway;
         let mut changes = gateway.watch_changes();
-        let mut response = missing_records(gateway, &positions);
+        let mut response = missing_records(gateway, &positions, suspects_position);
         let wait = Duration::from_millis(wait_ms).min(MAX_LONG_POLL_WAIT);
         let until = Instant::now() + wait;
-        while response.streams.is_empty() && response.is_reader {
+        while response.is_empty() && response.is_reader {
             match timeout_at(until, changes.changed()).await {
-                Ok(Ok(())) => response = missing_records(gateway, &positions),
+                Ok(Ok(())) => {
+                    response = missing_records(gateway, &positions, suspects_position);
+                }
                 Ok(Err(_)) | Err(_) => break,
             }
         }
         response
     }
+
+    async fn report_suspects(self, _: context::Context, reports: Vec<SuspectReport>) {
+        self.gateway.merge_suspects(&reports, "another instance");
+    }
+
+    async fn acquire_run(
+        self,
+        _: context::Context,
+        scope: Scope,
+        token: u64,
+        lifetime_ms: u64,
+        report: Option<SuspectReport>,
+    ) -> PermitResponse {
+        let gateway = &self.gateway;
+        gateway.merge_suspects(report.as_slice(), "another instance");
+        let is_granted = gateway.grant_run(scope, token, lifetime_ms);
+        let reports = gateway.suspect_report(scope.content());
+        PermitResponse {
+            is_granted,
+            reports: reports.into_iter().collect(),
+        }
+    }
+
+    async fn release_run(
+        self,
+        _: context::Context,
+        scope: Scope,
+        token: u64,
+        report: Option<SuspectReport>,
+    ) {
+        let gateway = &self.gateway;
+        gateway.merge_suspects(report.as_slice(), "another instance");
+        gateway.run_permits().release(scope, token);
+    }
+}
+
+impl RecordsResponse {
+    fn is_empty(&self) -> bool {
+        self.streams.is_empty() && self.suspects.is_empty()
+    }
 }
 
 fn missing_records<P: Platform>(
     gateway: &Gateway<P>,
     positions: &[StreamPosition],
+    suspects_position: u64,
 ) -> RecordsResponse {
     let view = gateway.view();
     let mut streams = Vec::new();
@@ -134,8 +224,14 @@
         }
     }
     drop(view);
+    let now_ms = gateway.now_ms();
+    let suspects = gateway.crash_suspects();
+    let (suspects, suspects_position) =
+        suspects.reports_after(suspects_position, MAX_REPORTS, now_ms);
     RecordsResponse {
         streams,
+        suspects,
+        suspects_position,
         is_reader: gateway.is_active_reader(),
         lapses_left_ms: gateway.lapse_window_left_ms(),
     }
@@ -174,6 +270,8 @@
 pub struct PeerClient {
     client: RelayClient,
     address: SocketAddr,
+    /// Position up to which the peer has told its suspects on this connection.
+    suspects_position: u64,
 }
 
 impl PeerClient {
@@ -189,7 +287,11 @@
             .map_err(|_| RelayError::Timeout)?
             .map_err(RelayError::Unreachable)?;
         let client = RelayClient::new(client::Config::default(), transport).spawn();
-        Ok(Self { client, address })
+        Ok(Self {
+            client,
+            address,
+            suspects_position: 0,
+        })
     }
 
     /// Address of the peer.
@@ -205,13 +307,18 @@
     /// Returns an error if the call fails or the response does not arrive in
     /// time.
     pub async fn fetch<P: Platform>(
-        &self,
+        &mut self,
         gateway: &Gateway<P>,
         wait: Duration,
     ) -> Result<bool, RelayError> {
         let positions = stream_positions(gateway);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let request = self.client.records(context::current(), positions, wait_ms);
+        let request = self.client.records(
+            context::current(),
+            positions,
+            self.suspects_position,
+            wait_ms,
+        );
         let response = timeout(wait + RESPONSE_TIMEOUT, request)
             .await
             .map_err(|_| RelayError::Timeout)?
@@ -226,8 +333,123 @@
         for StreamRecords { stream, records } in response.streams {
             gateway.apply_records(stream, records, true, &source);
         }
+        gateway.merge_suspects(&response.suspects, &source);
+        self.suspects_position = response.suspects_position;
+        gateway.set_heard_from_peer();
         Ok(response.is_reader)
     }
+
+    /// Tells the peer of suspect requests.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn report_suspects(&self, reports: Vec<SuspectReport>) -> Result<(), RelayError> {
+        let request = self.client.report_suspects(context::current(), reports);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Asks the peer for the only permit to run the requests of a scope.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn acquire_run(
+        &self,
+        scope: Scope,
+        token: u64,
+        lifetime_ms: u64,
+        report: Option<SuspectReport>,
+    ) -> Result<PermitResponse, RelayError> {
+        let request =
+            self.client
+                .acquire_run(context::current(), scope, token, lifetime_ms, report);
+        response_within(PERMIT_TIMEOUT, request).await
+    }
+
+    /// Gives a permit back.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time; the
+    /// permit then expires.
+    pub async fn release_run(
+        &self,
+        scope: Scope,
+        token: u64,
+        report: Option<SuspectReport>,
+    ) -> Result<(), RelayError> {
+        let request = self
+            .client
+            .release_run(context::current(), scope, token, report);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+}
+
+async fn response_within<T>(
+    limit: Duration,
+    request: impl Future<Output = Result<T, client::RpcError>>,
+) -> Result<T, RelayError> {
+    timeout(limit, request)
+        .await
+        .map_err(|_| RelayError::Timeout)?
+        .map_err(RelayError::Call)
+}
+
+/// Tells other instances, in the background, what this one knows of a suspect request.
+///
+/// Instances that cannot be told get it with the records that they fetch.
+pub fn push_suspect<P: Platform>(gateway: &Arc<Gateway<P>>, content: u64) {
+    for address in push_targets(gateway) {
+        let gateway = Arc::clone(gateway);
+        tokio::spawn(async move {
+            if push_to(&gateway, content, address).await.is_ok() {
+                return;
+            }
+            sleep(PUSH_RETRY_DELAY).await;
+            if let Err(error) = push_to(&gateway, content, address).await {
+                tracing::debug!(%address, %error, "failed to tell an instance of a suspect request");
+            }
+        });
+    }
+}
+
+async fn push_to<P: Platform>(
+    gateway: &Gateway<P>,
+    content: u64,
+    address: SocketAddr,
+) -> Result<(), RelayError> {
+    let reports = gateway.suspect_report(content).into_iter().collect();
+    let client = PeerClient::connect(address).await?;
+    client.report_suspects(reports).await
+}
+
+/// All other instances if they are few; otherwise those that rank first as readers of
+/// their data centres, whose followers wait for changes, and random others.
+fn push_targets<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
+    let settings = gateway.settings();
+    let mut others = Vec::new();
+    let mut readers: BTreeMap<Arc<str>, (u64, SocketAddr)> = BTreeMap::new();
+    for (name, instance) in &gateway.view().instances {
+        if instance.address == settings.peer_address {
+            continue;
+        }
+        others.push(instance.address);
+        let data_centre = Arc::clone(&instance.data_centre);
+        let candidate = (weight(&data_centre, name), instance.address);
+        let best = readers.entry(data_centre).or_insert(candidate);
+        *best = candidate.max(*best);
+    }
+    if others.len() <= MAX_DIRECT_PEERS {
+        return others;
+    }
+    let mut targets: Vec<SocketAddr> = others
+        .sample(&mut rand::rng(), MAX_DIRECT_PEERS)
+        .copied()
+        .collect();
+    for (_, address) in readers.into_values() {
+        if !targets.contains(&address) {
+            targets.push(address);
+        }
+    }
+    targets
 }
 
 /// Fetches missing records from a random peer while the store is unreachable.
@@ -236,7 +458,7 @@
         return;
     };
     let fetched = async {
-        let client = PeerClient::connect(address).await?;
+        let mut client = PeerClient::connect(address).await?;
         client.fetch(gateway, Duration::ZERO).await
     };
     if let Err(error) = fetched.await {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,7 @@
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
-use super::{follower, reader_role, relay};
+use super::{follower, reader_role, relay, suspect_records};
 use crate::process::run::RunError;
 
 /// Time for which a stopping instance still accepts connections: the balancer
@@ -93,11 +93,12 @@
     tokio::spawn(reader_role::run(Arc::clone(gateway)));
     tokio::spawn(follower::check_long_polls(Arc::clone(gateway)));
     tokio::spawn(follower::register_instance(Arc::clone(gateway)));
+    tokio::spawn(suspect_records::keep_stored(Arc::clone(gateway)));
     tokio::spawn(remove_expired(Arc::clone(gateway)));
 }
 
-/// Removes lapsed upstreams that did not come back, and idle connections, at
-/// every interval.
+/// Removes lapsed upstreams that did not come back, old suspicions and idle
+/// connections, at every interval.
 async fn remove_expired<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
         sleep(EXPIRY_INTERVAL).await;
@@ -106,6 +107,7 @@
         for id in expired {
             tracing::info!(upstream = %id, "removed a lapsed upstream that did not return");
         }
+        gateway.crash_suspects().expire(now_ms);
         let view = gateway.view();
         gateway.upstream_clients.prune(&view.directory);
     }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -54,7 +54,7 @@
 
 /// Sends a request on the connection of its upstream's probe.
 pub async fn send<P: Platform>(
-    gateway: &Gateway<P>,
+    gateway: &Arc<Gateway<P>>,
     call: &Call,
     chosen: ProbedUpstream,
 ) -> SendOutcome {
@@ -102,6 +102,7 @@
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
         Ok(Ok(response)) => {
+            crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response);
             client.release(connection);
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::store::{KeyedRecord, OperatorRecord, Platform, RecordError, Records, Stream};
+use super::suspect_records::{StoredSuspect, content_of_key};
 use crate::decision::directory::{Change, Directory};
 use crate::decision::manifest::Manifest;
 
@@ -28,6 +29,8 @@
     Upstream(Arc<str>, Change),
     /// An instance registered, moved or left.
     Instance(Arc<str>),
+    /// The record of a content with a stopped request was written or removed.
+    StoppedRequest(u64),
     /// A record was skipped because it is invalid.
     InvalidRecord(Stream, Arc<str>, RecordError),
 }
@@ -75,6 +78,8 @@
     pub evacuated: BTreeSet<Arc<str>>,
     /// Instances by name.
     pub instances: BTreeMap<Arc<str>, Instance>,
+    /// Records of stopped requests, by content.
+    pub stored_suspects: BTreeMap<u64, StoredSuspect>,
     operator_records: StreamCopy,
     upstream_records: StreamCopy,
     instance_records: StreamCopy,
@@ -250,6 +255,11 @@
         key: &str,
         value: Option<&[u8]>,
     ) -> Result<Option<Event>, RecordError> {
+        if let Some(content) = content_of_key(key) {
+            let record = value.map(StoredSuspect::parse).transpose()?;
+            self.note_stored_suspect(content, record);
+            return Ok(Some(Event::StoppedRequest(content)));
+        }
         let Some(name) = key.strip_prefix(INSTANCE_KEY_PREFIX) else {
             return Ok(None);
         };
@@ -266,6 +276,14 @@
         Ok(has_changed.then_some(Event::Instance(name)))
     }
 
+    /// Sets the record of a stopped request; `None` removes it.
+    pub fn note_stored_suspect(&mut self, content: u64, record: Option<StoredSuspect>) {
+        match record {
+            Some(record) => self.stored_suspects.insert(content, record),
+            None => self.stored_suspects.remove(&content),
+        };
+    }
+
     fn copy(&self, stream: Stream) -> &StreamCopy {
         match stream {
             Stream::Operator => &self.operator_records,
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -229,11 +229,14 @@
     let before = exchange(&mut stream, request).await;
     gateway.view().manifest = Some(Arc::new(manifest(1, &[route()])));
     gateway.set_upstreams_loaded();
+    let without_instances = exchange(&mut stream, request).await;
+    gateway.set_instances_loaded();
     let while_ready = exchange(&mut stream, request).await;
     gateway.begin_stop();
     let stopping = exchange(&mut stream, request).await;
 
     expect_that!(before, starts_with("HTTP/1.1 503"));
+    expect_that!(without_instances, starts_with("HTTP/1.1 503"));
     expect_that!(while_ready, starts_with("HTTP/1.1 200"));
     expect_that!(stopping, starts_with("HTTP/1.1 503"));
 }
