Bound the memory and time that responses without end take

Cause: each body could grow to 64 MB, whatever others took; interim responses and trailers were read until the deadline, and a line that came byte by byte was searched from its start each time.

Response bodies share a quarter of the memory limit and may each grow to what is still free, so ordinary ones fit beside endless ones; the reservation lasts until the caller has the body. Probes get 64 KB. At most 16 interim responses; trailers at most as long as a head.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -6,5 +6,6 @@
 pub mod list;
 pub mod log;
 pub mod peer;
+pub mod response_memory;
 pub mod upstream;
 pub mod wire;
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -7,6 +7,7 @@
 
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -17,12 +18,17 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::response_memory::{ResponseMemory, ResponseReservation};
+
 /// Most headers in one response.
 const MAX_HEADERS: usize = 64;
 /// Longest head (status line and headers) of a response.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Longest body of a response; the platform's largest page is 1 MB.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Memory for the body of a response that shares no memory; the platform's largest
+/// page is 1 MB.
+const UNSHARED_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+/// Interim responses before the final one after which the exchange fails.
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Buffer space reserved before each read.
 const READ_RESERVE_BYTES: usize = 4 * 1024;
 /// Responses to other requests that are skipped before the exchange fails.
@@ -89,6 +95,14 @@
     usable_until: Instant,
 }
 
+/// Reads one response: its connection's reading half, the bytes that were received and
+/// not used yet, and the memory that its body may take.
+struct ResponseReader<'c, R> {
+    reader: R,
+    buffer: &'c mut BytesMut,
+    reservation: ResponseReservation,
+}
+
 impl Connection {
     /// Opens a connection.
     ///
@@ -127,23 +141,38 @@
         matches!(found, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the complete response, whose body may take a few
+    /// megabytes.
+    ///
+    /// # Errors
+    /// As [`Connection::exchange_within`].
+    pub async fn exchange(
+        &mut self,
+        request: &HttpRequest,
+        id_header: Option<&HeaderName>,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let memory = ResponseMemory::new(UNSHARED_MEMORY_BYTES);
+        self.exchange_within(request, id_header, &memory).await
+    }
+
+    /// Sends a request and reads the complete response into `memory`.
     ///
     /// `id_header` matches responses to requests. Dropping the future leaves the
     /// connection unusable; the caller must drop it, too.
     ///
     /// # Errors
-    /// Returns an error if the connection is closed early or the response is
-    /// invalid.
-    pub async fn exchange(
+    /// Returns an error if the connection is closed early, or the response is invalid or
+    /// too long.
+    pub async fn exchange_within(
         &mut self,
         request: &HttpRequest,
         id_header: Option<&HeaderName>,
+        memory: &Arc<ResponseMemory>,
     ) -> Result<HttpResponse, ExchangeError> {
         self.is_reusable = false;
         let bytes = encode(request);
         let expected_id = id_header.and_then(|name| Some((name, request.headers.get(name)?)));
-        let (mut reader, mut writer) = self.stream.split();
+        let (reader, mut writer) = self.stream.split();
         let write = async {
             writer.write_all(&bytes).await?;
             if !request.body.is_empty() {
@@ -151,7 +180,12 @@
             }
             Ok::<(), std::io::Error>(())
         };
-        let read = read_matching(&mut reader, &mut self.buffer, &request.method, expected_id);
+        let response_reader = ResponseReader {
+            reader,
+            buffer: &mut self.buffer,
+            reservation: ResponseReservation::new(memory),
+        };
+        let read = response_reader.read_matching(&request.method, expected_id);
         tokio::pin!(write);
         tokio::pin!(read);
         let mut is_written = false;
@@ -214,39 +248,6 @@
     bytes
 }
 
-/// Reads responses until one does not carry a different id; the flag says whether
-/// the connection may be reused.
-async fn read_matching(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-    method: &Method,
-    expected_id: Option<(&HeaderName, &HeaderValue)>,
-) -> Result<(HttpResponse, bool), ExchangeError> {
-    let mut stray_responses = 0;
-    loop {
-        let (response, framing) = read_response(reader, buffer, method).await?;
-        if response.status.is_informational() {
-            continue;
-        }
-        let is_stray = expected_id.is_some_and(|(name, value)| {
-            let found = response.headers.get(name);
-            found.is_some_and(|found| found != value)
-        });
-        if !is_stray {
-            let is_keep_alive = framing != Framing::UntilClose
-                && stray_responses == 0
-                && !has_token(&response.headers, "close");
-            return Ok((response, is_keep_alive));
-        }
-        stray_responses += 1;
-        if framing == Framing::UntilClose || stray_responses > MAX_STRAY_RESPONSES {
-            return Err(ExchangeError::InvalidResponse(
-                "it belongs to another request",
-            ));
-        }
-    }
-}
-
 fn has_token(headers: &HeaderMap, token: &str) -> bool {
     headers
         .get_all(CONNECTION)
@@ -256,34 +257,6 @@
         .any(|part| part.trim().eq_ignore_ascii_case(token))
 }
 
-async fn read_response(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-    method: &Method,
-) -> Result<(HttpResponse, Framing), ExchangeError> {
-    let (status, headers) = loop {
-        if let Some(head) = parse_head(buffer)? {
-            break head;
-        }
-        if buffer.len() > MAX_HEAD_BYTES {
-            return Err(ExchangeError::InvalidResponse("the head is too long"));
-        }
-        fill(reader, buffer).await?;
-    };
-    let framing = framing(method, status, &headers)?;
-    let body = match framing {
-        Framing::Length(length) => read_length(reader, buffer, length).await?,
-        Framing::Chunked => read_chunks(reader, buffer).await?,
-        Framing::UntilClose => read_until_close(reader, buffer).await?,
-    };
-    let response = HttpResponse {
-        status,
-        headers,
-        body,
-    };
-    Ok((response, framing))
-}
-
 /// Removes a complete head from the buffer; `None` while it is incomplete.
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<(StatusCode, HeaderMap)>, ExchangeError> {
     let mut found = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -348,125 +321,213 @@
 }
 
 fn parse_length(value: &HeaderValue) -> Result<usize, ExchangeError> {
-    let length = value
+    value
         .to_str()
         .ok()
         .filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()))
         .and_then(|text| text.parse().ok())
         .ok_or(ExchangeError::InvalidResponse(
             "content-length is malformed",
-        ))?;
-    check_size(length)?;
-    Ok(length)
+        ))
 }
 
-fn check_size(length: usize) -> Result<(), ExchangeError> {
-    if length > MAX_BODY_BYTES {
-        return Err(ExchangeError::InvalidResponse("the body is too long"));
+impl<R: AsyncRead + Unpin> ResponseReader<'_, R> {
+    /// Reads responses until one does not carry a different id; the flag says whether
+    /// the connection may be reused.
+    async fn read_matching(
+        mut self,
+        method: &Method,
+        expected_id: Option<(&HeaderName, &HeaderValue)>,
+    ) -> Result<(HttpResponse, bool), ExchangeError> {
+        let mut stray_responses = 0;
+        let mut interim_responses = 0;
+        loop {
+            let (mut response, framing) = self.read_response(method).await?;
+            if response.status.is_informational() {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ExchangeError::InvalidResponse("too many interim responses"));
+                }
+                continue;
+            }
+            let is_stray = expected_id.is_some_and(|(name, value)| {
+                let found = response.headers.get(name);
+                found.is_some_and(|found| found != value)
+            });
+            if !is_stray {
+                let is_keep_alive = framing != Framing::UntilClose
+                    && stray_responses == 0
+                    && !has_token(&response.headers, "close");
+                response.body = self.reservation.attach_to(response.body);
+                return Ok((response, is_keep_alive));
+            }
+            stray_responses += 1;
+            if framing == Framing::UntilClose || stray_responses > MAX_STRAY_RESPONSES {
+                return Err(ExchangeError::InvalidResponse(
+                    "it belongs to another request",
+                ));
+            }
+        }
+    }
+
+    async fn read_response(
+        &mut self,
+        method: &Method,
+    ) -> Result<(HttpResponse, Framing), ExchangeError> {
+        let (status, headers) = self.read_head().await?;
+        let framing = framing(method, status, &headers)?;
+        let body = match framing {
+            Framing::Length(length) => self.read_length(length).await?,
+            Framing::Chunked => self.read_chunks().await?,
+            Framing::UntilClose => self.read_until_close().await?,
+        };
+        let response = HttpResponse {
+            status,
+            headers,
+            body,
+        };
+        Ok((response, framing))
     }
-    Ok(())
-}
 
-async fn read_length(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-    length: usize,
-) -> Result<Bytes, ExchangeError> {
-    while buffer.len() < length {
-        fill(reader, buffer).await?;
+    async fn read_head(&mut self) -> Result<(StatusCode, HeaderMap), ExchangeError> {
+        loop {
+            if let Some(head) = parse_head(self.buffer)? {
+                return Ok(head);
+            }
+            // A head that arrives byte by byte is parsed again only with a new line.
+            loop {
+                let known = self.buffer.len();
+                if known > MAX_HEAD_BYTES {
+                    return Err(ExchangeError::InvalidResponse("the head is too long"));
+                }
+                self.fill().await?;
+                if known == 0 || self.buffer[known..].contains(&b'\n') {
+                    break;
+                }
+            }
+        }
     }
-    Ok(buffer.split_to(length).freeze())
-}
 
-async fn read_until_close(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-) -> Result<Bytes, ExchangeError> {
-    loop {
-        check_size(buffer.len())?;
-        buffer.reserve(READ_RESERVE_BYTES);
-        let count = reader
-            .read_buf(buffer)
-            .await
-            .map_err(ExchangeError::Disconnected)?;
-        if count == 0 {
-            return Ok(buffer.split().freeze());
+    /// Reserves memory for a body of `length` bytes.
+    fn reserve(&mut self, length: usize) -> Result<(), ExchangeError> {
+        if self.reservation.grow_to(length) {
+            return Ok(());
         }
+        Err(ExchangeError::InvalidResponse("the body is too long"))
     }
-}
 
-async fn read_chunks(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-) -> Result<Bytes, ExchangeError> {
-    let mut body = BytesMut::new();
-    loop {
-        let length = read_chunk_length(reader, buffer).await?;
-        if length == 0 {
-            break;
+    async fn read_length(&mut self, length: usize) -> Result<Bytes, ExchangeError> {
+        self.reserve(length)?;
+        while self.buffer.len() < length {
+            self.fill().await?;
         }
-        check_size(body.len() + length)?;
-        let chunk = read_length(reader, buffer, length).await?;
-        body.extend_from_slice(&chunk);
-        let end = read_length(reader, buffer, 2).await?;
-        if &end[..] != b"\r\n" {
-            return Err(ExchangeError::InvalidResponse(
-                "a chunk does not end with CRLF",
-            ));
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn read_until_close(&mut self) -> Result<Bytes, ExchangeError> {
+        loop {
+            self.reserve(self.buffer.len())?;
+            if self.read_more().await? == 0 {
+                return Ok(self.buffer.split().freeze());
+            }
         }
     }
-    // Trailers end with an empty line.
-    while !read_line(reader, buffer).await?.is_empty() {}
-    Ok(body.freeze())
-}
 
-async fn read_chunk_length(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-) -> Result<usize, ExchangeError> {
-    let line = read_line(reader, buffer).await?;
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or(&[]);
-    let is_hexadecimal = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
-    std::str::from_utf8(digits)
-        .ok()
-        .filter(|_| is_hexadecimal)
-        .and_then(|text| usize::from_str_radix(text, 16).ok())
-        .ok_or(ExchangeError::InvalidResponse(
-            "a chunk length is malformed",
-        ))
-}
+    async fn read_chunks(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut body = BytesMut::new();
+        loop {
+            let length = self.read_chunk_length().await?;
+            if length == 0 {
+                break;
+            }
+            self.reserve(body.len().saturating_add(length))?;
+            let mut missing = length;
+            while missing > 0 {
+                if self.buffer.is_empty() {
+                    self.fill().await?;
+                }
+                let count = missing.min(self.buffer.len());
+                body.extend_from_slice(&self.buffer[..count]);
+                self.buffer.advance(count);
+                missing -= count;
+            }
+            while self.buffer.len() < 2 {
+                self.fill().await?;
+            }
+            if &self.buffer[..2] != b"\r\n" {
+                return Err(ExchangeError::InvalidResponse(
+                    "a chunk does not end with CRLF",
+                ));
+            }
+            self.buffer.advance(2);
+        }
+        self.skip_trailers().await?;
+        Ok(body.freeze())
+    }
 
-async fn read_line(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-) -> Result<Bytes, ExchangeError> {
-    loop {
-        if let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") {
-            let line = buffer.split_to(end).freeze();
-            buffer.advance(2);
-            return Ok(line);
+    /// Reads the trailers, which end with an empty line.
+    async fn skip_trailers(&mut self) -> Result<(), ExchangeError> {
+        let mut length = 0;
+        loop {
+            let line = self.read_line().await?;
+            if line.is_empty() {
+                return Ok(());
+            }
+            length += line.len();
+            if length > MAX_HEAD_BYTES {
+                return Err(ExchangeError::InvalidResponse("the trailers are too long"));
+            }
         }
-        if buffer.len() > MAX_HEAD_BYTES {
-            return Err(ExchangeError::InvalidResponse(
-                "a chunk header or trailer is too long",
-            ));
+    }
+
+    async fn read_chunk_length(&mut self) -> Result<usize, ExchangeError> {
+        let line = self.read_line().await?;
+        let digits = line.split(|byte| *byte == b';').next().unwrap_or(&[]);
+        let is_hexadecimal = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+        std::str::from_utf8(digits)
+            .ok()
+            .filter(|_| is_hexadecimal)
+            .and_then(|text| usize::from_str_radix(text, 16).ok())
+            .ok_or(ExchangeError::InvalidResponse(
+                "a chunk length is malformed",
+            ))
+    }
+
+    async fn read_line(&mut self) -> Result<Bytes, ExchangeError> {
+        let mut searched = 0;
+        loop {
+            let found = self.buffer[searched..]
+                .windows(2)
+                .position(|pair| pair == b"\r\n");
+            if let Some(end) = found {
+                let line = self.buffer.split_to(searched + end).freeze();
+                self.buffer.advance(2);
+                return Ok(line);
+            }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ExchangeError::InvalidResponse(
+                    "a chunk header or trailer is too long",
+                ));
+            }
+            searched = self.buffer.len().saturating_sub(1);
+            self.fill().await?;
         }
-        fill(reader, buffer).await?;
     }
-}
 
-async fn fill(
-    reader: &mut (impl AsyncRead + Unpin),
-    buffer: &mut BytesMut,
-) -> Result<(), ExchangeError> {
-    buffer.reserve(READ_RESERVE_BYTES);
-    let count = reader
-        .read_buf(buffer)
-        .await
-        .map_err(ExchangeError::Disconnected)?;
-    if count == 0 {
+    async fn fill(&mut self) -> Result<(), ExchangeError> {
+        if self.read_more().await? > 0 {
+            return Ok(());
+        }
         let end = std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
-        return Err(ExchangeError::Disconnected(end));
+        Err(ExchangeError::Disconnected(end))
+    }
+
+    /// Reads what has arrived; 0 bytes at the end of the connection.
+    async fn read_more(&mut self) -> Result<usize, ExchangeError> {
+        self.buffer.reserve(READ_RESERVE_BYTES);
+        self.reader
+            .read_buf(self.buffer)
+            .await
+            .map_err(ExchangeError::Disconnected)
     }
-    Ok(())
 }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -93,7 +93,8 @@
     let request = upstream_request(names, call, &chosen.upstream.report.id);
     let sent_at = Instant::now();
     let deadline = attempt_deadline(call, expected_ms, sent_at);
-    let exchange = connection.exchange(&request, Some(&names.request_id));
+    let exchange =
+        connection.exchange_within(&request, Some(&names.request_id), &gateway.response_memory);
     let result = timeout_at(deadline, exchange).await;
     guard.is_finished = true;
     gateway
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use super::store::{Platform, Records, Stream};
 use super::upstream_client::UpstreamClients;
 use super::view::{Event, View};
+use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
 use crate::decision::crash_suspects::{CrashSuspects, Fingerprint, Scope, SuspectReport, Verdict};
 use crate::decision::directory::Upstream;
@@ -54,8 +55,8 @@
     pub bytes: f64,
 }
 
-/// Request bodies may take the memory limit divided by this; each body may be
-/// held a second time in its connection's buffer.
+/// Request bodies, and response bodies, may each take the memory limit divided by
+/// this; a request's body may be held a second time in its connection's buffer.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// Shared state of one gateway process.
@@ -70,6 +71,8 @@
     pub log_budget: LogBudget,
     /// Memory limit shared by all request bodies.
     pub body_memory: Arc<BodyMemory>,
+    /// Memory limit shared by all response bodies.
+    pub response_memory: Arc<ResponseMemory>,
     /// Connections and ejection state of each upstream.
     pub upstream_clients: UpstreamClients,
     /// Notified when a call to the store fails, is slow, or succeeds again after
@@ -116,6 +119,7 @@
             metrics: Metrics::new(),
             log_budget: LogBudget::new(),
             body_memory: BodyMemory::new(body_bytes),
+            response_memory: ResponseMemory::new(body_bytes),
             upstream_clients: UpstreamClients::default(),
             store_recheck: Notify::new(),
             long_poll_started: Notify::new(),
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -14,6 +14,7 @@
 use super::metrics::Metrics;
 use super::store::HeaderNames;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
+use crate::connection::response_memory::ResponseMemory;
 use crate::decision::crash_suspects::UpstreamLifetime;
 use crate::decision::directory::{Directory, UpstreamReport};
 use crate::decision::ejection::{EjectionState, Evidence};
@@ -27,6 +28,8 @@
 /// Timeout of the connection that shows whether an upstream still listens; longer
 /// waits would delay the retry of a request whose connection was closed.
 const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Memory for the response to a probe, which has no body of use.
+const PROBE_MEMORY_BYTES: usize = 64 * 1024;
 /// Idle connections kept per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 3;
 /// Cold time assumed if an upstream reports an invalid one; any above 0 makes it
@@ -210,10 +213,13 @@
     ) -> Result<(Connection, Reading), ProbeError> {
         metrics.probes.inc();
         let request = self.probe_request(names, health_path);
+        let id_header = Some(&names.request_id);
+        let memory = ResponseMemory::new(PROBE_MEMORY_BYTES);
         if let Some(mut connection) = self.take_idle() {
             // The upstream may have dropped an idle connection; then all idle ones
             // are closed, and the probe is sent on a new one.
-            match connection.exchange(&request, Some(&names.request_id)).await {
+            let exchange = connection.exchange_within(&request, id_header, &memory);
+            match exchange.await {
                 Ok(response) => return Ok((connection, self.parse_reading(names, &response)?)),
                 Err(ExchangeError::Disconnected(_)) => self.lock_idle().clear(),
                 Err(error) => return Err(error.into()),
@@ -221,7 +227,7 @@
         }
         let mut connection = self.open(metrics).await?;
         let response = connection
-            .exchange(&request, Some(&names.request_id))
+            .exchange_within(&request, id_header, &memory)
             .await?;
         Ok((connection, self.parse_reading(names, &response)?))
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod call_forwarding;
 mod crashing_requests;
+mod endless_responses;
 mod fake;
 mod follower;
 mod fragile;
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -29,6 +29,16 @@
     Unstamped,
     /// Sends the response to another request before its own.
     Stray,
+    /// Sends a head, and then chunks of a body without end.
+    EndlessBody,
+    /// Sends a body without length or end.
+    EndlessUnframedBody,
+    /// Sends headers without end.
+    EndlessHead,
+    /// Sends interim responses without end.
+    EndlessInterimResponses,
+    /// Sends a body and then trailers without end.
+    EndlessTrailers,
 }
 
 #[derive(Debug)]
@@ -42,6 +52,7 @@
     runs: Vec<String>,
     probes: usize,
     disconnects: usize,
+    bytes_sent: usize,
 }
 
 /// A running fake upstream.
@@ -68,6 +79,7 @@
                 runs: Vec::new(),
                 probes: 0,
                 disconnects: 0,
+                bytes_sent: 0,
             })),
         };
         let server = upstream.clone();
@@ -116,6 +128,20 @@
         self.state.lock().unwrap().disconnects
     }
 
+    /// Number of bytes that it could send of responses without end.
+    pub fn bytes_sent(&self) -> usize {
+        self.state.lock().unwrap().bytes_sent
+    }
+
+    /// Repeats `part` after `start` until the other side closes the connection.
+    async fn send_without_end(&self, stream: &mut TcpStream, start: &str, part: &[u8]) {
+        let mut is_open = stream.write_all(start.as_bytes()).await.is_ok();
+        while is_open {
+            is_open = stream.write_all(part).await.is_ok();
+            self.state.lock().unwrap().bytes_sent += part.len();
+        }
+    }
+
     async fn serve(&self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
             if head.starts_with("GET /health ") {
@@ -163,7 +189,34 @@
             "HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\ncontent-length: 4\r\n\r\ngood",
             self.id
         );
+        let ok = format!("HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\n", self.id);
+        let endless = match behaviour {
+            Behaviour::EndlessBody => {
+                let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+                Some((format!("{ok}transfer-encoding: chunked\r\n\r\n"), chunk))
+            }
+            Behaviour::EndlessUnframedBody => Some((format!("{ok}\r\n"), "x".repeat(0x4000))),
+            Behaviour::EndlessHead => Some((ok, "x".repeat(0x4000))),
+            Behaviour::EndlessInterimResponses => {
+                let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(100);
+                Some((String::new(), interim))
+            }
+            Behaviour::EndlessTrailers => {
+                let start = format!("{ok}transfer-encoding: chunked\r\n\r\n0\r\n");
+                Some((start, "a: b\r\n".repeat(1_000)))
+            }
+            _ => None,
+        };
+        if let Some((start, part)) = endless {
+            self.send_without_end(stream, &start, part.as_bytes()).await;
+            return false;
+        }
         let text = match behaviour {
+            Behaviour::EndlessBody
+            | Behaviour::EndlessUnframedBody
+            | Behaviour::EndlessHead
+            | Behaviour::EndlessInterimResponses
+            | Behaviour::EndlessTrailers => return false,
             Behaviour::Serve(time) => {
                 if self.is_disconnected_within(stream, time).await {
                     return false;
