Soak: a request that ends its upstreams, and answers without end

Seeds above 100: even ones play a caller that sends such a request again each 0.3 s through random gateways, and their upstreams are reached directly, since a proxy would accept connections for an upstream that has ended. Answers without end join the upstream faults. The gateways get a memory limit of 160 MB and must stay below it. Upstreams report when they started.

--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::balancer;
+use crate::crashing;
 use crate::gateway::Gateway;
 use crate::ledger::Ledger;
 use crate::proxy::{Proxy, ProxyMode};
@@ -85,7 +86,7 @@
     pub upstreams: tokio::sync::Mutex<Vec<Option<RunningUpstream>>>,
     pub upstream_proxies: Vec<Proxy>,
     pub size: Size,
-    seed: u64,
+    pub seed: u64,
     started: Instant,
     host: [u8; 4],
     folder: PathBuf,
@@ -168,12 +169,15 @@
     pub fn new_upstream_config(&self, position: usize) -> UpstreamConfig {
         let incarnation = self.started_upstreams.fetch_add(1, Ordering::Relaxed);
         let per_service = self.size.upstreams() / SERVICES.len();
+        let address = SocketAddr::from((self.host, port(UPSTREAM_PORT, position)));
+        let proxy_address = SocketAddr::from((self.host, port(UPSTREAM_PROXY_PORT, position)));
+        let is_direct = crashing::is_played(self.seed);
         UpstreamConfig {
             id: format!("up-{position}-{incarnation}"),
             service: SERVICES[position / per_service],
             data_centre: DATA_CENTRES[position % DATA_CENTRES.len()],
-            address: SocketAddr::from((self.host, port(UPSTREAM_PORT, position))),
-            advertised_address: SocketAddr::from((self.host, port(UPSTREAM_PROXY_PORT, position))),
+            address,
+            advertised_address: if is_direct { address } else { proxy_address },
         }
     }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -1,6 +1,6 @@
 //! Random faults, drawn from a seed; they may overlap.
 
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -97,6 +97,36 @@
     }
 }
 
+/// Ends an upstream now, and starts another one at its address after a while.
+pub fn crash_and_replace(env: &Weak<TestEnv>, id: String) {
+    let Some(env) = env.upgrade() else {
+        return;
+    };
+    tokio::spawn(async move {
+        let mut upstreams = env.upstreams.lock().await;
+        let has_id = |slot: &Option<RunningUpstream>| {
+            slot.as_ref()
+                .is_some_and(|running| running.upstream.config.id == id)
+        };
+        let Some(position) = upstreams.iter().position(has_id) else {
+            return;
+        };
+        let running = upstreams[position].take();
+        drop(upstreams);
+        if let Some(running) = running {
+            running.crash().await;
+        }
+        sleep(ENTRY_REMOVAL_DELAY).await;
+        env.store.put("keyed.servers", &id, b"");
+        sleep(ADDRESS_REUSE_DELAY).await;
+        let mut upstreams = env.upstreams.lock().await;
+        if upstreams[position].is_none() {
+            let config = env.new_upstream_config(position);
+            upstreams[position] = Some(RunningUpstream::start(&env, config, true).await);
+        }
+    });
+}
+
 impl DrawnFault {
     async fn inject(self, env: &Arc<TestEnv>) {
         match self.kind {
@@ -215,7 +245,7 @@
                 upstream.restart_warm_up(env);
                 return;
             }
-            let faults = [
+            let mut faults = vec![
                 Fault::Slow(6),
                 Fault::Errors,
                 Fault::Hangs,
@@ -225,6 +255,10 @@
                 Fault::SendsStrayAnswers,
                 Fault::ReportsUnhealthy,
             ];
+            // Older seeds keep the faults that they had.
+            if env.seed > 100 {
+                faults.extend([Fault::SendsEndlessAnswers; 3]);
+            }
             upstream.set_fault(faults[self.variant % faults.len()]);
             sleep(self.duration).await;
             upstream.set_fault(Fault::None);
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -19,8 +19,10 @@
 const PEER_PORT: u16 = 8600;
 /// Time within which a gateway must stop after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Memory limit in the settings of a gateway.
+const MEMORY_LIMIT_MB: u64 = 160;
 /// Limit of the peak resident memory of a gateway.
-const MAX_MEMORY_KB: u64 = 256 * 1024;
+const MAX_MEMORY_KB: u64 = MEMORY_LIMIT_MB * 1024;
 /// Limit of the open file descriptors of a gateway.
 const MAX_DESCRIPTORS: usize = 1_000;
 
@@ -57,7 +59,7 @@
             "name": name, "data_centre": DATA_CENTRES[number % DATA_CENTRES.len()],
             "caller_address": address(CALLER_PORT), "ready_address": address(READY_PORT),
             "metrics_address": address(METRICS_PORT), "peer_address": address(PEER_PORT),
-            "seeds": seeds, "store_address": store_address, "memory_limit_mb": 256,
+            "seeds": seeds, "store_address": store_address, "memory_limit_mb": MEMORY_LIMIT_MB,
             "stop_limit": "6s", "repeat_ratio": "0.2", "repeat_slack": "56",
             "repeat_window": "10s", "cold_factor": "1.5", "cold_slack": "5",
             "probes_per_s": "60",
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -70,6 +70,7 @@
 pub struct Ledger {
     requests: Mutex<Vec<SentRequest>>,
     runs: Mutex<Vec<Run>>,
+    crashes_ms: Mutex<Vec<u64>>,
 }
 
 impl Ledger {
@@ -88,6 +89,11 @@
         self.runs.lock().unwrap()[index].ended_ms = Some(ended_ms);
     }
 
+    /// Times at which an upstream ended under [`crate::crashing::MARK`].
+    pub fn crashes_ms(&self) -> MutexGuard<'_, Vec<u64>> {
+        self.crashes_ms.lock().unwrap()
+    }
+
     pub fn requests(&self) -> MutexGuard<'_, Vec<SentRequest>> {
         self.requests.lock().unwrap()
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod balancer;
 mod caller;
 mod checks;
+mod crashing;
 mod env;
 mod faults;
 mod gateway;
@@ -71,7 +72,7 @@
 
 fn seeds() -> Vec<u64> {
     let Ok(range) = std::env::var("SOAK_SEEDS") else {
-        return vec![1, 2];
+        return vec![1, 2, 102];
     };
     let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
     let (first, last) = range.split_once('-').unwrap_or((&range, &range));
@@ -84,6 +85,9 @@
 async fn run_seed(seed: u64, size: Size) -> Vec<String> {
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
+    if crashing::is_played(seed) {
+        crashing::start(&env);
+    }
     faults::inject(&env, seed, size.fault_phase_s).await;
     env.end_faults().await;
     tokio::time::sleep(checks::RECOVERY_TIME).await;
@@ -98,6 +102,7 @@
         checks::count_by_status(&env)
     );
     let mut violations = checks::find_violations(&env, steady_from_ms);
+    violations.extend(crashing::check(&env));
     violations.extend(env.stop_gateways().await);
     env.keep_or_remove_logs(!violations.is_empty());
     violations
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -14,6 +14,7 @@
 use crate::env::TestEnv;
 use crate::ledger::Run;
 use crate::wire::{self, Message};
+use crate::{crashing, faults};
 
 /// Maximum number of requests that run at once, and of those that wait.
 pub const SLOTS: usize = 2;
@@ -40,6 +41,8 @@
     Truncates,
     /// An answer with the id of another request precedes each answer.
     SendsStrayAnswers,
+    /// Answers are sent without end.
+    SendsEndlessAnswers,
     /// Health checks report it as unhealthy although it serves requests.
     ReportsUnhealthy,
 }
@@ -66,6 +69,7 @@
     cold_until_ms: AtomicU64,
     draining_since_ms: AtomicU64,
     sequence: AtomicU64,
+    started_at_unix_ms: u64,
     is_gone: AtomicBool,
 }
 
@@ -92,6 +96,7 @@
             cold_until_ms: AtomicU64::new(cold_until_ms),
             draining_since_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
+            started_at_unix_ms: unix_ms(),
             is_gone: AtomicBool::new(false),
         });
         let listener = bind(upstream.config.address).await;
@@ -116,6 +121,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = std::time::UNIX_EPOCH.elapsed().unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
 /// Binds an address, with retries while the previous upstream still holds it.
 async fn bind(address: SocketAddr) -> TcpListener {
     loop {
@@ -156,7 +166,7 @@
             "state": if is_draining { "draining" } else { "ready" },
             "warmup-left": format!("{}ms", self.cold_left_ms(env)),
             "seq": self.sequence.fetch_add(1, Ordering::Relaxed),
-            "born": 1_700_000_000_000_u64,
+            "born": self.started_at_unix_ms,
         });
         env.store.put(
             "keyed.servers",
@@ -234,6 +244,13 @@
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let slot = self.slots.acquire().await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
+        let is_crashing = request.start_line.contains(crashing::MARK)
+            || request.body == crashing::MARK.as_bytes();
+        if is_crashing {
+            env.ledger.crashes_ms().push(env.now_ms());
+            faults::crash_and_replace(&self.env, self.config.id.clone());
+            std::future::pending::<()>().await;
+        }
         let index = env.ledger.start_run(self.new_run(env, request));
         let is_connected = self.work(fault, stream).await;
         env.ledger.end_run(index, env.now_ms());
@@ -318,6 +335,17 @@
                         .await
                         .is_ok()
             }
+            Fault::SendsEndlessAnswers => {
+                let head = format!(
+                    "{ok_line}\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+                );
+                let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
+                let mut is_open = stream.get_mut().write_all(head.as_bytes()).await.is_ok();
+                while is_open {
+                    is_open = stream.get_mut().write_all(chunk.as_bytes()).await.is_ok();
+                }
+                false
+            }
             _ => wire::write(stream, ok_line, &headers, body.as_bytes())
                 .await
                 .is_ok(),
