Find ends behind a proxy, and know stopped requests before serving

New connections that are closed at once, twice within 0.12 s, now count as an end until the upstream turns out to be the same process as before.

Asking for a permit takes at most 0.15 s an instance.

--- a/src/decision/crash_suspects.rs
+++ b/src/decision/crash_suspects.rs
@@ -12,6 +12,8 @@
 
 /// Ends of upstreams after which a request is stopped.
 pub const ENDS_TO_STOP: usize = 3;
+/// Ends among these that no other stopped request accounts for.
+const MIN_UNEXPLAINED_ENDS: usize = 2;
 /// Ends kept for each content; further ones replace refuted or old ones.
 const MAX_ENDS: usize = 16;
 /// Contents in a table; a new one replaces the oldest that is not stopped.
@@ -143,8 +145,8 @@
         };
         let variant_scope = Scope::Variant(request);
         let content_scope = Scope::Content(request.content);
-        let own_ends = self.lifetimes(suspect, variant_scope).len();
-        let all_ends = self.lifetimes(suspect, content_scope).len();
+        let own_ends = self.counted_ends(suspect, variant_scope);
+        let all_ends = self.counted_ends(suspect, content_scope);
         let is_content_suspect = self.is_content_suspect(suspect, request.content);
         let ends = if is_content_suspect {
             all_ends
@@ -214,6 +216,25 @@
         has_changed
     }
 
+    /// Records that an upstream process has not ended after all; returns whether that
+    /// refutes an end.
+    pub fn on_survival(&mut self, content: u64, lifetime: &UpstreamLifetime) -> bool {
+        let Some(suspect) = self.by_content.get_mut(&content) else {
+            return false;
+        };
+        let mut has_changed = false;
+        for end in &mut suspect.ends {
+            if end.lifetime == *lifetime && !end.is_refuted {
+                end.is_refuted = true;
+                has_changed = true;
+            }
+        }
+        if has_changed {
+            self.on_change(content);
+        }
+        has_changed
+    }
+
     /// Adds what another instance knows; returns whether anything is new.
     pub fn merge(&mut self, report: &SuspectReport, now_ms: u64) -> bool {
         let last_end_ms = to_i64(now_ms).saturating_sub(to_i64(report.age_ms));
@@ -312,7 +333,8 @@
             .any(|scope| scope.content() == content)
     }
 
-    /// The upstream processes whose end is held against the requests of a scope.
+    /// The upstream processes that ended under the requests of a scope and whose end no
+    /// other stopped request accounts for.
     fn lifetimes<'s>(&self, suspect: &'s Suspect, scope: Scope) -> BTreeSet<&'s UpstreamLifetime> {
         let mut lifetimes = BTreeSet::new();
         for end in &suspect.ends {
@@ -325,6 +347,25 @@
         lifetimes
     }
 
+    /// Number of ends that are held against the requests of a scope.
+    ///
+    /// An end that another stopped request accounts for counts only beside two that
+    /// none does: two requests that end upstreams may have been in flight at the same
+    /// one, and instances may differ in which of them was stopped first.
+    fn counted_ends(&self, suspect: &Suspect, scope: Scope) -> usize {
+        let unexplained = self.lifetimes(suspect, scope).len();
+        if unexplained < MIN_UNEXPLAINED_ENDS {
+            return unexplained;
+        }
+        let mut all = BTreeSet::new();
+        for end in &suspect.ends {
+            if !end.is_refuted && scope.includes(end.variant) {
+                all.insert(&end.lifetime);
+            }
+        }
+        all.len()
+    }
+
     /// Whether ends under several variants show that the content alone matters.
     ///
     /// A variant counts only if an upstream ended under it and no other variant:
@@ -370,11 +411,10 @@
         }
         let mut newly_explained = Vec::new();
         for scope in scopes {
-            let lifetimes = self.lifetimes(suspect, scope);
-            if lifetimes.len() < ENDS_TO_STOP {
+            if self.counted_ends(suspect, scope) < ENDS_TO_STOP {
                 continue;
             }
-            for lifetime in lifetimes {
+            for lifetime in self.lifetimes(suspect, scope) {
                 newly_explained.push((lifetime.clone(), scope));
             }
         }
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -2,7 +2,8 @@
 //!
 //! A closed connection alone does not show that: the upstream may have lost or cut
 //! its response. If no process listens at its address right after, or a new process
-//! started there at that moment, it ended.
+//! started there at that moment, it ended. New connections that are closed at once
+//! count as an end until the upstream turns out to be the same process as before.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -19,15 +20,19 @@
 use crate::decision::directory::UpstreamState;
 use crate::decision::ejection::Evidence;
 
-/// Delays between further checks of an upstream that still listened at the first one:
-/// a process that is being killed may close its connections before its listener.
-const LISTEN_CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
+/// Delays before further checks of an upstream that still accepted the first
+/// connection.
+const ACCEPT_CHECK_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(100)];
+/// Delay before an upstream that closed all new connections is checked again.
+const SURVIVAL_CHECK_DELAY: Duration = Duration::from_millis(500);
+/// Time after which an upstream that still closes all new connections counts as ended.
+const SURVIVAL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which the report of a new process may arrive: two heartbeats.
 const RESTART_REPORT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval at which the directory is checked for such a report.
-const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Largest difference between the failure and the start of the new process, which
-/// includes the difference of their clocks.
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Largest difference between the failure and the start of the new process of an
+/// upstream that always accepted connections; it includes that of their clocks.
 const MAX_RESTART_DIFFERENCE_MS: u64 = 2_000;
 
 /// A failed exchange whose upstream may have ended.
@@ -69,9 +74,7 @@
     };
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
-        if let Some(shown_by) = wait_for_end(&gateway, &failure).await {
-            record_end(&gateway, &failure, shown_by);
-        }
+        watch_upstream(&gateway, &failure).await;
         drop(watch);
     });
 }
@@ -112,29 +115,83 @@
         .map_or(0, to_ms)
 }
 
-async fn wait_for_end<P: Platform>(
-    gateway: &Gateway<P>,
-    failure: &Failure,
-) -> Option<&'static str> {
-    for delay in LISTEN_CHECK_DELAYS {
+/// Finds out later whether an upstream that accepted a connection ended.
+async fn watch_upstream<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure) {
+    let mut closed = 0;
+    for delay in ACCEPT_CHECK_DELAYS {
         sleep(delay).await;
-        if failure.client.check_listens(&gateway.metrics).await == ListenState::Refused {
-            return Some("connection-refused");
+        match failure.client.check_accepts(&gateway.metrics).await {
+            ListenState::Refused => return record_end(gateway, failure, "connection-refused"),
+            ListenState::Closed => closed += 1,
+            ListenState::Accepted => break,
+            ListenState::Unknown => {}
         }
     }
+    let seems_ended = closed == ACCEPT_CHECK_DELAYS.len();
+    if seems_ended {
+        record_end(gateway, failure, "connections-closed");
+        let until = Instant::now() + SURVIVAL_TIMEOUT;
+        while failure.client.check_accepts(&gateway.metrics).await != ListenState::Accepted {
+            if Instant::now() >= until {
+                return;
+            }
+            sleep(SURVIVAL_CHECK_DELAY).await;
+        }
+    }
+    let has_restarted = wait_for_restart(gateway, failure, seems_ended).await;
+    match (seems_ended, has_restarted) {
+        (false, true) => record_end(gateway, failure, "new-process"),
+        (true, false) => record_survival(gateway, failure),
+        (true, true) | (false, false) => {}
+    }
+}
+
+/// Waits for the report of a new process; one that started long after the failure
+/// counts only if the upstream was away meanwhile.
+async fn wait_for_restart<P: Platform>(
+    gateway: &Gateway<P>,
+    failure: &Failure,
+    was_away: bool,
+) -> bool {
+    let max_difference_ms = if was_away {
+        to_ms(SURVIVAL_TIMEOUT)
+    } else {
+        MAX_RESTART_DIFFERENCE_MS
+    };
     let until = Instant::now() + RESTART_REPORT_TIMEOUT;
     while Instant::now() < until {
-        sleep(RESTART_CHECK_INTERVAL).await;
-        if has_restarted(gateway, failure) {
-            return Some("new-process");
+        if has_restarted(gateway, failure, max_difference_ms) {
+            return true;
         }
+        sleep(RESTART_CHECK_INTERVAL).await;
     }
-    None
+    false
 }
 
-/// Whether the directory has a process at the upstream's address that started when
-/// the exchange failed.
-fn has_restarted<P: Platform>(gateway: &Gateway<P>, failure: &Failure) -> bool {
+/// Withdraws an end that was recorded for an upstream that is still the same process.
+fn record_survival<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure) {
+    let content = failure.fingerprint.content;
+    let lifetime = failure.client.lifetime();
+    if !gateway.crash_suspects().on_survival(content, &lifetime) {
+        return;
+    }
+    tracing::info!(
+        request = failure.request,
+        content = hex(content),
+        upstream = %lifetime.upstream,
+        "suspicion refuted: the upstream has not ended"
+    );
+    gateway.on_suspects_changed();
+    relay::push_suspect(gateway, content);
+}
+
+/// Whether the directory has a process at the upstream's address that started about
+/// when the exchange failed.
+fn has_restarted<P: Platform>(
+    gateway: &Gateway<P>,
+    failure: &Failure,
+    max_difference_ms: u64,
+) -> bool {
     let old = failure.client.lifetime();
     let view = gateway.view();
     for id in view.directory.ids() {
@@ -145,7 +202,7 @@
         let is_successor = report.address == failure.client.address
             && (report.id != old.upstream || report.started_at_ms != old.started_at_ms);
         let difference_ms = report.started_at_ms.abs_diff(failure.at_unix_ms);
-        if is_successor && difference_ms <= MAX_RESTART_DIFFERENCE_MS {
+        if is_successor && difference_ms <= max_difference_ms {
             return true;
         }
     }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reason {
-    /// No version of the routes is known yet.
+    /// No version of the routes is known yet, or not which requests are stopped.
     NoManifest,
     /// No route matches the host and path.
     NoRoute,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,8 +32,6 @@
 /// Streams that instances fetch from each other.
 const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
 
-/// Time in which a peer must respond to a request for a run permit.
-const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Most reports of suspects in one response.
 const MAX_REPORTS: usize = 256;
 /// Instances that are told of a suspect directly; beyond that, the readers of the data
@@ -330,10 +328,11 @@
             gateway.extend_lapse_window(response.lapses_left_ms);
         }
         let source = self.address.to_string();
+        // The records may make this instance ready, so the suspects come first.
+        gateway.merge_suspects(&response.suspects, &source);
         for StreamRecords { stream, records } in response.streams {
             gateway.apply_records(stream, records, true, &source);
         }
-        gateway.merge_suspects(&response.suspects, &source);
         self.suspects_position = response.suspects_position;
         gateway.set_heard_from_peer();
         Ok(response.is_reader)
@@ -362,7 +361,7 @@
         let request =
             self.client
                 .acquire_run(context::current(), scope, token, lifetime_ms, report);
-        response_within(PERMIT_TIMEOUT, request).await
+        response_within(RESPONSE_TIMEOUT, request).await
     }
 
     /// Gives a permit back.
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::calls::Call;
 use super::crash_evidence::hex;
@@ -28,7 +28,9 @@
 /// Time for which a permit outlasts the deadline of its request, in milliseconds.
 const PERMIT_MARGIN_MS: u64 = 1_000;
 /// Instances that are asked before this one decides alone.
-const MAX_ISSUERS: usize = 3;
+const MAX_ISSUERS: usize = 2;
+/// Time in which an instance must accept a connection and respond.
+const ISSUER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which an instance that did not respond is not asked again.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(2);
 
@@ -179,7 +181,9 @@
         let Some(address) = issuer else {
             break;
         };
-        match ask(gateway, scope, token, lifetime_ms, address).await {
+        let asked = ask(gateway, scope, token, lifetime_ms, address);
+        let response = timeout(ISSUER_TIMEOUT, asked).await;
+        match response.unwrap_or(Err(RelayError::Timeout)) {
             Ok(is_granted) => {
                 return is_granted.then_some(Held {
                     scope,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -285,7 +285,9 @@
     if callers.in_flight() > MAX_CONCURRENT_REQUESTS {
         return Outcome::refused(Reason::Overloaded, OVERLOAD_RETRY_AFTER_MS);
     }
-    let manifest = gateway.manifest();
+    let manifest = gateway
+        .manifest()
+        .filter(|_| gateway.knows_stopped_requests());
     let names = gateway.platform.headers();
     match calls::read_call(request, manifest.as_ref(), names, &gateway.body_memory).await {
         Ok(call) => forward(gateway, &call).await,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -236,13 +236,13 @@
             };
             (events, view.next_offset(stream) != before)
         };
+        self.merge_stored_suspects(&events);
         match stream {
             Stream::Operator => {}
             Stream::Upstreams => self.set_upstreams_loaded(),
             Stream::Instances => self.set_instances_loaded(),
         }
         self.on_events(&events, source, offset);
-        self.merge_stored_suspects(&events);
         if has_advanced {
             self.notify_changed();
         }
@@ -337,15 +337,21 @@
     /// stopped requests, and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_stopped_requests = self.are_instances_loaded()
-            || self.has_heard_from_peer.load(Ordering::Relaxed)
-            || self.now_ms() >= STOPPED_REQUESTS_TIMEOUT_MS;
         self.are_upstreams_loaded.load(Ordering::Relaxed)
-            && knows_stopped_requests
+            && self.knows_stopped_requests()
             && !self.is_stopping()
             && self.view().manifest.is_some()
     }
 
+    /// Whether this instance has been told which requests are stopped, or has waited
+    /// long enough for it.
+    #[must_use]
+    pub fn knows_stopped_requests(&self) -> bool {
+        self.are_instances_loaded()
+            || self.has_heard_from_peer.load(Ordering::Relaxed)
+            || self.now_ms() >= STOPPED_REQUESTS_TIMEOUT_MS
+    }
+
     /// Starts the planned stop: the instance is no longer ready, and no longer counts
     /// as an active reader.
     pub fn begin_stop(&self) {
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -10,6 +10,7 @@
 use http::header::HOST;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use thiserror::Error;
+use tokio::time::sleep;
 
 use super::metrics::Metrics;
 use super::store::HeaderNames;
@@ -28,6 +29,8 @@
 /// Timeout of the connection that shows whether an upstream still listens; longer
 /// waits would delay the retry of a request whose connection was closed.
 const LISTEN_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time in which a proxy whose target does not listen closes a new connection.
+const CLOSE_WAIT: Duration = Duration::from_millis(10);
 /// Memory for the response to a probe, which has no body of use.
 const PROBE_MEMORY_BYTES: usize = 64 * 1024;
 /// Idle connections kept per upstream.
@@ -63,6 +66,9 @@
     Refused,
     /// The connection was accepted.
     Accepted,
+    /// The connection was accepted and closed at once, as by a proxy whose target does
+    /// not listen, or an upstream with too many connections.
+    Closed,
     /// The attempt timed out or failed for another reason.
     Unknown,
 }
@@ -141,10 +147,24 @@
                 self.release(connection);
                 ListenState::Accepted
             }
-            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                ListenState::Refused
+            Err(error) => listen_state(&error),
+        }
+    }
+
+    /// Like [`UpstreamClient::check_listens`], but also waits whether the upstream keeps
+    /// the connection open.
+    pub async fn check_accepts(&self, metrics: &Metrics) -> ListenState {
+        metrics.connections_opened.inc();
+        match Connection::open(self.address, LISTEN_CHECK_TIMEOUT).await {
+            Ok(connection) => {
+                sleep(CLOSE_WAIT).await;
+                if !connection.is_usable() {
+                    return ListenState::Closed;
+                }
+                self.release(connection);
+                ListenState::Accepted
             }
-            Err(_) => ListenState::Unknown,
+            Err(error) => listen_state(&error),
         }
     }
 
@@ -296,6 +316,14 @@
     }
 }
 
+fn listen_state(error: &std::io::Error) -> ListenState {
+    match error.kind() {
+        std::io::ErrorKind::ConnectionRefused => ListenState::Refused,
+        std::io::ErrorKind::ConnectionReset => ListenState::Closed,
+        _ => ListenState::Unknown,
+    }
+}
+
 fn header_text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
     headers.get(name)?.to_str().ok()
 }
--- a/tests/crash_suspects.rs
+++ b/tests/crash_suspects.rs
@@ -101,6 +101,19 @@
     expect_that!(suspects.stopped(), eq(0));
 }
 
+// Guards against holding an end against a request after the upstream turned out alive.
+#[gtest]
+fn an_upstream_that_survived_does_not_count() {
+    let mut suspects = after_ends(GUILTY, 0..3);
+
+    suspects.on_survival(GUILTY.content, &lifetime(1));
+
+    expect_that!(
+        suspects.verdict(GUILTY, 300),
+        eq(Verdict::Suspect(Scope::Variant(GUILTY)))
+    );
+}
+
 // Guards against an answer to another request clearing a request that ends upstreams.
 #[gtest]
 fn an_answer_to_another_variant_does_not_refute_the_suspicion() {
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -36,24 +36,31 @@
     /// Starts instances in two data centres, and upstreams that all of them know.
     async fn start(instances: usize, upstreams: usize) -> Self {
         let store = FakeStore::new();
+        let mut running = Vec::new();
+        for number in 0..upstreams {
+            running.push(FragileUpstream::start(&store, &format!("up-{number}")).await);
+        }
+        Self::start_with(store, instances, running).await
+    }
+
+    async fn start_with(
+        store: Arc<FakeStore>,
+        instances: usize,
+        upstreams: Vec<Arc<FragileUpstream>>,
+    ) -> Self {
         store.write(Stream::Operator, "config", Some("1"));
         let mut fleet = Self {
             store,
             instances: Vec::new(),
-            upstreams: Vec::new(),
+            upstreams,
         };
-        for number in 0..upstreams {
-            let id = format!("up-{number}");
-            let upstream = FragileUpstream::start(&fleet.store, &id).await;
-            fleet.upstreams.push(upstream);
-        }
         for number in 0..instances {
             fleet.add_instance(&format!("gate-{number}")).await;
         }
         let all_know_all = || {
             fleet.instances.iter().all(|instance| {
                 let view = instance.gateway.view();
-                view.instances.len() == instances && view.directory.len() == upstreams
+                view.instances.len() == instances && view.directory.len() == fleet.upstreams.len()
             })
         };
         within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
@@ -311,3 +318,57 @@
 
     expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
 }
+
+// Guards against several such requests being taken for fewer, or for all of their route.
+#[gtest]
+#[tokio::test]
+async fn several_requests_that_end_upstreams_are_each_stopped() {
+    let fleet = Fleet::start(4, 24).await;
+    let route = route();
+
+    let poisons = (0..4).map(|number| {
+        let (fleet, route) = (&fleet, &route);
+        async move {
+            let body = format!("{POISON_BODY} {number}");
+            fleet.send_repeatedly(route, &body, 12).await
+        }
+    });
+    let ordinary = async {
+        let mut served = 0;
+        for number in 0..150 {
+            let call = call(&route, &format!("ordinary {}", number % 10));
+            served += usize::from(fleet.send(number, &call).await == 200);
+            sleep(Duration::from_millis(5)).await;
+        }
+        served
+    };
+    let (statuses, served) = tokio::join!(join_all(poisons), ordinary);
+
+    for statuses in statuses {
+        expect_that!(statuses[11], eq(503));
+    }
+    expect_that!(served, eq(150));
+    expect_that!(fleet.ends(), le(4 * ENDS_TO_KNOW));
+}
+
+// Guards against missing the ends of upstreams behind something that accepts connections
+// for them while they are down.
+#[gtest]
+#[tokio::test]
+async fn ends_behind_a_proxy_are_found() {
+    let store = FakeStore::new();
+    let mut upstreams = Vec::new();
+    for number in 0..8 {
+        let id = format!("up-{number}");
+        upstreams.push(FragileUpstream::start_behind_proxy(&store, &id).await);
+    }
+    let fleet = Fleet::start_with(store, 4, upstreams).await;
+    let route = non_idempotent_route();
+
+    for attempt in 0..12 {
+        fleet.send(attempt, &call(&route, POISON_BODY)).await;
+        sleep(3 * RESEND_PAUSE).await;
+    }
+
+    expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
+}
--- a/tests/gateway/fragile.rs
+++ b/tests/gateway/fragile.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::fake::FakeStore;
 use super::upstream::{id_line, read_request};
@@ -28,6 +28,7 @@
     pub id: String,
     pub address: SocketAddr,
     store: Arc<FakeStore>,
+    is_behind_proxy: bool,
     started_at_ms: AtomicUsize,
     running: AtomicUsize,
     ends: AtomicUsize,
@@ -36,12 +37,22 @@
 
 impl FragileUpstream {
     pub async fn start(store: &Arc<FakeStore>, id: &str) -> Arc<Self> {
+        Self::start_with(store, id, false).await
+    }
+
+    /// Starts one whose address accepts connections while it is down, and closes them.
+    pub async fn start_behind_proxy(store: &Arc<FakeStore>, id: &str) -> Arc<Self> {
+        Self::start_with(store, id, true).await
+    }
+
+    async fn start_with(store: &Arc<FakeStore>, id: &str, is_behind_proxy: bool) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = Arc::new(Self {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             store: Arc::clone(store),
-            started_at_ms: AtomicUsize::new(1),
+            is_behind_proxy,
+            started_at_ms: AtomicUsize::new(unix_ms()),
             running: AtomicUsize::new(0),
             ends: AtomicUsize::new(0),
             crash: Notify::new(),
@@ -81,12 +92,21 @@
                 }
             }
             self.ends.fetch_add(1, Ordering::Relaxed);
-            drop(listener);
-            connections.shutdown().await;
+            if self.is_behind_proxy {
+                connections.shutdown().await;
+                // Accepted connections are dropped.
+                let _ = timeout(DOWN_TIME, async {
+                    while listener.accept().await.is_ok() {}
+                })
+                .await;
+            } else {
+                drop(listener);
+                connections.shutdown().await;
+                sleep(DOWN_TIME).await;
+                listener = rebind(self.address).await;
+            }
             self.running.store(0, Ordering::Relaxed);
-            sleep(DOWN_TIME).await;
-            listener = rebind(self.address).await;
-            self.started_at_ms.fetch_add(1, Ordering::Relaxed);
+            self.started_at_ms.store(unix_ms(), Ordering::Relaxed);
             self.publish();
         }
     }
@@ -124,6 +144,10 @@
     }
 }
 
+fn unix_ms() -> usize {
+    usize::try_from(std::time::UNIX_EPOCH.elapsed().unwrap().as_millis()).unwrap()
+}
+
 async fn rebind(address: SocketAddr) -> TcpListener {
     loop {
         match TcpListener::bind(address).await {
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -39,6 +39,7 @@
 }
 
 async fn start_server_with(gateway: Arc<Gateway<FakePlatform>>) -> TestServer {
+    gateway.set_instances_loaded();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let callers = Arc::new(CallerCounts::default());
