--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,8 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod suspect_push;
 pub mod suspect_records;
+pub mod suspects;
 pub mod upstream_client;
 pub mod view;
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -11,9 +11,10 @@
 use tokio::time::{Instant, sleep};
 
 use super::calls::{Call, to_ms};
-use super::relay;
 use super::state::Gateway;
 use super::store::Platform;
+use super::suspect_push::push_suspect;
+use super::suspects::hex;
 use super::upstream_client::{ListenState, UpstreamClient};
 use crate::connection::exchange::{ExchangeError, HttpResponse};
 use crate::decision::crash_suspects::Fingerprint;
@@ -69,7 +70,7 @@
         record_end(gateway, &failure, "connection-refused");
         return;
     }
-    let Ok(watch) = Arc::clone(&gateway.end_watches).try_acquire_owned() else {
+    let Ok(watch) = Arc::clone(&gateway.suspects.end_watches).try_acquire_owned() else {
         return;
     };
     let gateway = Arc::clone(gateway);
@@ -85,11 +86,11 @@
     let is_from_run = response.headers.contains_key(&names.stamp)
         && !response.headers.contains_key(&names.not_run)
         && !response.status.is_server_error();
-    if !is_from_run || gateway.crash_suspects().is_empty() {
+    if !is_from_run || gateway.suspects.table().is_empty() {
         return;
     }
     let fingerprint = call.fingerprint(names);
-    if gateway.crash_suspects().on_answer(fingerprint) {
+    if gateway.suspects.table().on_answer(fingerprint) {
         tracing::info!(
             request = call.id_text(),
             content = hex(fingerprint.content),
@@ -97,16 +98,10 @@
             "suspicion refuted: an upstream answered the request"
         );
         gateway.on_suspects_changed();
-        relay::push_suspect(gateway, fingerprint.content);
+        push_suspect(gateway, fingerprint.content);
     }
 }
 
-/// Formats a hash for log lines and keys.
-#[must_use]
-pub fn hex(hash: u64) -> String {
-    format!("{hash:016x}")
-}
-
 /// Milliseconds since the Unix epoch, on this machine's clock.
 #[must_use]
 pub fn unix_ms() -> u64 {
@@ -172,7 +167,7 @@
 fn record_survival<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure) {
     let content = failure.fingerprint.content;
     let lifetime = failure.client.lifetime();
-    if !gateway.crash_suspects().on_survival(content, &lifetime) {
+    if !gateway.suspects.table().on_survival(content, &lifetime) {
         return;
     }
     tracing::info!(
@@ -182,7 +177,7 @@
         "suspicion refuted: the upstream has not ended"
     );
     gateway.on_suspects_changed();
-    relay::push_suspect(gateway, content);
+    push_suspect(gateway, content);
 }
 
 /// Whether the directory has a process at the upstream's address that started about
@@ -226,7 +221,7 @@
     gateway.metrics.upstream_ends.inc();
     let fingerprint = failure.fingerprint;
     let (is_new, verdict) = {
-        let mut suspects = gateway.crash_suspects();
+        let mut suspects = gateway.suspects.table();
         let is_new = suspects.on_end(fingerprint, lifetime.clone(), now_ms);
         (is_new, suspects.verdict(fingerprint, now_ms))
     };
@@ -243,7 +238,7 @@
     );
     if is_new {
         gateway.on_suspects_changed();
-        relay::push_suspect(gateway, fingerprint.content);
+        push_suspect(gateway, fingerprint.content);
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,6 @@
 //! Records keep their offsets in the store's streams, so any instance can serve
 //! them. [`super::reader_role`] decides which peer an instance fetches from.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,12 +16,11 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use thiserror::Error;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
 use crate::decision::crash_suspects::{Scope, SuspectReport};
-use crate::decision::rendezvous::weight;
 
 /// Time in which a peer must accept a connection or, beyond the wait of a long
 /// poll, respond.
@@ -34,12 +32,6 @@
 
 /// Most reports of suspects in one response.
 const MAX_REPORTS: usize = 256;
-/// Instances that are told of a suspect directly; beyond that, the readers of the data
-/// centres and as many others, and these tell theirs.
-const MAX_DIRECT_PEERS: usize = 16;
-/// Delay before a peer that could not be told is told once more.
-const PUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
-
 /// How far an instance has read a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamPosition {
@@ -191,7 +183,7 @@
     ) {
         let gateway = &self.gateway;
         gateway.merge_suspects(report.as_slice(), "another instance");
-        gateway.run_permits().release(scope, token);
+        gateway.suspects.permits().release(scope, token);
     }
 }
 
@@ -223,7 +215,7 @@
     }
     drop(view);
     let now_ms = gateway.now_ms();
-    let suspects = gateway.crash_suspects();
+    let suspects = gateway.suspects.table();
     let (suspects, suspects_position) =
         suspects.reports_after(suspects_position, MAX_REPORTS, now_ms);
     RecordsResponse {
@@ -392,65 +384,6 @@
         .map_err(RelayError::Call)
 }
 
-/// Tells other instances, in the background, what this one knows of a suspect request.
-///
-/// Instances that cannot be told get it with the records that they fetch.
-pub fn push_suspect<P: Platform>(gateway: &Arc<Gateway<P>>, content: u64) {
-    for address in push_targets(gateway) {
-        let gateway = Arc::clone(gateway);
-        tokio::spawn(async move {
-            if push_to(&gateway, content, address).await.is_ok() {
-                return;
-            }
-            sleep(PUSH_RETRY_DELAY).await;
-            if let Err(error) = push_to(&gateway, content, address).await {
-                tracing::debug!(%address, %error, "failed to tell an instance of a suspect request");
-            }
-        });
-    }
-}
-
-async fn push_to<P: Platform>(
-    gateway: &Gateway<P>,
-    content: u64,
-    address: SocketAddr,
-) -> Result<(), RelayError> {
-    let reports = gateway.suspect_report(content).into_iter().collect();
-    let client = PeerClient::connect(address).await?;
-    client.report_suspects(reports).await
-}
-
-/// All other instances if they are few; otherwise those that rank first as readers of
-/// their data centres, whose followers wait for changes, and random others.
-fn push_targets<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
-    let settings = gateway.settings();
-    let mut others = Vec::new();
-    let mut readers: BTreeMap<Arc<str>, (u64, SocketAddr)> = BTreeMap::new();
-    for (name, instance) in &gateway.view().instances {
-        if instance.address == settings.peer_address {
-            continue;
-        }
-        others.push(instance.address);
-        let data_centre = Arc::clone(&instance.data_centre);
-        let candidate = (weight(&data_centre, name), instance.address);
-        let best = readers.entry(data_centre).or_insert(candidate);
-        *best = candidate.max(*best);
-    }
-    if others.len() <= MAX_DIRECT_PEERS {
-        return others;
-    }
-    let mut targets: Vec<SocketAddr> = others
-        .sample(&mut rand::rng(), MAX_DIRECT_PEERS)
-        .copied()
-        .collect();
-    for (_, address) in readers.into_values() {
-        if !targets.contains(&address) {
-            targets.push(address);
-        }
-    }
-    targets
-}
-
 /// Fetches missing records from a random peer while the store is unreachable.
 pub async fn fetch_from_any_peer<P: Platform>(gateway: &Gateway<P>) {
     let Some(address) = pick_peer(gateway) else {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -107,7 +107,7 @@
         for id in expired {
             tracing::info!(upstream = %id, "removed a lapsed upstream that did not return");
         }
-        gateway.crash_suspects().expire(now_ms);
+        gateway.suspects.table().expire(now_ms);
         let view = gateway.view();
         gateway.upstream_clients.prune(&view.directory);
     }
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -5,18 +5,17 @@
 //! also learns of each end before it gives out the permit again, so copies that
 //! arrive at different instances do not each end further upstreams.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use super::calls::Call;
-use super::crash_evidence::hex;
 use super::relay::{PeerClient, RelayError};
 use super::state::Gateway;
 use super::store::Platform;
+use super::suspects::hex;
 use crate::decision::crash_suspects::{Scope, Verdict};
 use crate::decision::rendezvous::weight;
 
@@ -31,9 +30,6 @@
 const MAX_ISSUERS: usize = 2;
 /// Time in which an instance must accept a connection and respond.
 const ISSUER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which an instance that did not respond is not asked again.
-const UNREACHABLE_TIME: Duration = Duration::from_secs(2);
-
 /// Why a request must not run now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
@@ -46,30 +42,6 @@
     CopyRunning,
 }
 
-/// Instances that did not respond to a request for a permit recently.
-#[derive(Debug, Default)]
-pub struct UnreachablePeers {
-    until: Mutex<HashMap<SocketAddr, Instant>>,
-}
-
-impl UnreachablePeers {
-    fn contains(&self, address: &SocketAddr) -> bool {
-        let until = self.lock();
-        until.get(address).is_some_and(|at| *at > Instant::now())
-    }
-
-    fn insert(&self, address: SocketAddr) {
-        let now = Instant::now();
-        let mut until = self.lock();
-        until.retain(|_, at| *at > now);
-        until.insert(address, now + UNREACHABLE_TIME);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
-        self.until.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// The permit of a suspect request; given back when dropped.
 struct Held {
     scope: Scope,
@@ -102,7 +74,8 @@
             return;
         };
         let Some(issuer) = held.issuer else {
-            self.gateway.run_permits().release(held.scope, held.token);
+            let mut permits = self.gateway.suspects.permits();
+            permits.release(held.scope, held.token);
             return;
         };
         let gateway = Arc::clone(&self.gateway);
@@ -161,7 +134,7 @@
 }
 
 fn verdict<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Verdict {
-    let suspects = gateway.crash_suspects();
+    let suspects = gateway.suspects.table();
     if suspects.is_empty() {
         return Verdict::Clear;
     }
@@ -193,7 +166,7 @@
             }
             Err(error) => {
                 tracing::info!(%address, %error, "no response to a request for a run permit");
-                gateway.unreachable_peers.insert(address);
+                gateway.suspects.unreachable_peers.insert(address);
             }
         }
     }
@@ -216,7 +189,12 @@
     let mut ranked = vec![(weight(&subject, &settings.name), None)];
     for (name, instance) in &gateway.view().instances {
         let is_other = instance.address != settings.peer_address;
-        if is_other && !gateway.unreachable_peers.contains(&instance.address) {
+        if is_other
+            && !gateway
+                .suspects
+                .unreachable_peers
+                .contains(&instance.address)
+        {
             ranked.push((weight(&subject, name), Some(instance.address)));
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,25 +5,23 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
 use super::metrics::Metrics;
-use super::run_permit::UnreachablePeers;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
+use super::suspects::SuspectState;
 use super::upstream_client::UpstreamClients;
 use super::view::{Event, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
-use crate::decision::crash_suspects::{CrashSuspects, Fingerprint, Scope, SuspectReport, Verdict};
 use crate::decision::directory::Upstream;
 use crate::decision::manifest::{Manifest, Route};
 use crate::decision::probe_budget::{ProbeBudget, ProbeLimit};
 use crate::decision::retry_budget::RetryBudget;
-use crate::decision::run_permits::RunPermits;
 use crate::decision::traffic_split::TrafficSplitter;
 
 /// Fraction of the route's latency objective used as its mean work time before
@@ -40,8 +38,6 @@
 /// since its upstream could not renew it during the outage.
 const LAPSE_WINDOW_MS: u64 = 2_500;
 
-/// Failed exchanges whose upstreams are watched for their end at the same time.
-const MAX_END_WATCHES: usize = 64;
 /// Time after the start in which the instance is not ready without the stopped
 /// requests, which it gets from the stream of instances or from another instance.
 const STOPPED_REQUESTS_TIMEOUT_MS: u64 = 3_000;
@@ -80,10 +76,8 @@
     pub store_recheck: Notify,
     /// Notified when a long poll of [`Stream::Operator`] starts.
     pub long_poll_started: Notify,
-    /// Limits the failed exchanges whose upstreams are watched for their end.
-    pub end_watches: Arc<Semaphore>,
-    /// Instances that did not respond to a request for a run permit.
-    pub unreachable_peers: UnreachablePeers,
+    /// Requests that are suspected of ending upstreams.
+    pub suspects: SuspectState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -93,8 +87,6 @@
     retry_budget: Mutex<RetryBudget>,
     cold_limiter: Mutex<ColdLimiter>,
     probe_budget: Mutex<ProbeBudget>,
-    crash_suspects: Mutex<CrashSuspects>,
-    run_permits: Mutex<RunPermits>,
     means_by_route: Mutex<HashMap<Arc<str>, RouteMeans>>,
     stopping: watch::Sender<bool>,
     reader_role: watch::Sender<bool>,
@@ -123,8 +115,7 @@
             upstream_clients: UpstreamClients::default(),
             store_recheck: Notify::new(),
             long_poll_started: Notify::new(),
-            end_watches: Arc::new(Semaphore::new(MAX_END_WATCHES)),
-            unreachable_peers: UnreachablePeers::default(),
+            suspects: SuspectState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
@@ -132,8 +123,6 @@
             retry_budget: Mutex::default(),
             cold_limiter: Mutex::default(),
             probe_budget: Mutex::default(),
-            crash_suspects: Mutex::default(),
-            run_permits: Mutex::default(),
             means_by_route: Mutex::default(),
             stopping: watch::Sender::new(false),
             reader_role: watch::Sender::new(true),
@@ -255,7 +244,8 @@
         self.changes.subscribe()
     }
 
-    fn notify_changed(&self) {
+    /// Wakes those that wait on [`Gateway::watch_changes`].
+    pub fn notify_changed(&self) {
         self.changes
             .send_modify(|count| *count = count.wrapping_add(1));
     }
@@ -461,95 +451,6 @@
         lock(&self.means_by_route).insert(Arc::clone(&route.name), updated);
     }
 
-    /// Locks the requests that are suspected of ending upstreams.
-    pub fn crash_suspects(&self) -> MutexGuard<'_, CrashSuspects> {
-        lock(&self.crash_suspects)
-    }
-
-    /// Locks the run permits that this instance has given out.
-    pub fn run_permits(&self) -> MutexGuard<'_, RunPermits> {
-        lock(&self.run_permits)
-    }
-
-    /// What this instance knows of the requests with this content.
-    #[must_use]
-    pub fn suspect_report(&self, content: u64) -> Option<SuspectReport> {
-        self.crash_suspects().report(content, self.now_ms())
-    }
-
-    /// Adds what another instance or the store knows of suspect requests; `source`
-    /// names it in the log.
-    pub fn merge_suspects(&self, reports: &[SuspectReport], source: &str) {
-        let now_ms = self.now_ms();
-        let mut has_changed = false;
-        for report in reports {
-            if !self.crash_suspects().merge(report, now_ms) {
-                continue;
-            }
-            has_changed = true;
-            let live = report.ends.iter().filter(|end| !end.is_refuted).count();
-            if self.log_budget.take() {
-                tracing::info!(
-                    content = super::crash_evidence::hex(report.content),
-                    ends = report.ends.len(),
-                    refuted = report.ends.len() - live,
-                    is_content_refuted = report.is_content_refuted,
-                    age_ms = report.age_ms,
-                    source,
-                    "learned of a suspect request"
-                );
-            }
-        }
-        if has_changed {
-            self.on_suspects_changed();
-        }
-    }
-
-    /// Updates the metrics after a change of the suspects, and tells the instances
-    /// that wait for one.
-    pub fn on_suspects_changed(&self) {
-        let (known, stopped) = {
-            let suspects = self.crash_suspects();
-            (suspects.len(), suspects.stopped())
-        };
-        let to_u64 = |count| u64::try_from(count).unwrap_or(u64::MAX);
-        self.metrics.suspects.set(to_u64(known));
-        self.metrics.stopped_requests.set(to_u64(stopped));
-        self.notify_changed();
-    }
-
-    /// Gives out the run permit of a scope; false if another token holds it or the
-    /// requests are stopped.
-    #[must_use]
-    pub fn grant_run(&self, scope: Scope, token: u64, lifetime_ms: u64) -> bool {
-        let now_ms = self.now_ms();
-        let request = match scope {
-            Scope::Variant(request) => request,
-            Scope::Content(content) => Fingerprint {
-                content,
-                variant: 0,
-            },
-        };
-        let verdict = self.crash_suspects().verdict(request, now_ms);
-        if matches!(verdict, Verdict::Stopped { .. }) {
-            return false;
-        }
-        self.run_permits()
-            .acquire(scope, token, lifetime_ms, now_ms)
-    }
-
-    fn merge_stored_suspects(&self, events: &[Event]) {
-        let mut reports = Vec::new();
-        for event in events {
-            let Event::StoppedRequest(content) = event else {
-                continue;
-            };
-            let stored = self.view().stored_suspects.get(content).cloned();
-            reports.extend(stored.map(|stored| stored.to_report(*content)));
-        }
-        self.merge_suspects(&reports, "store");
-    }
-
     /// Logs changes of the view and updates the metrics.
     pub fn on_events(&self, events: &[Event], source: &str, offset: u64) {
         if events.is_empty() {
@@ -595,7 +496,7 @@
             tracing::info!(instance = %name, source, offset, "instance changed");
         }
         Event::StoppedRequest(content) => {
-            let content = super::crash_evidence::hex(*content);
+            let content = super::suspects::hex(*content);
             tracing::info!(
                 content,
                 source,
--- a/src/gateway/suspect_records.rs
+++ b/src/gateway/suspect_records.rs
@@ -8,9 +8,10 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::crash_evidence::{hex, unix_ms};
+use super::crash_evidence::unix_ms;
 use super::state::Gateway;
 use super::store::{Platform, RecordError};
+use super::suspects::hex;
 use crate::decision::crash_suspects::{End, SuspectReport};
 use crate::decision::rendezvous::rank;
 
@@ -110,7 +111,7 @@
 }
 
 fn pending_changes<P: Platform>(gateway: &Gateway<P>) -> Vec<PendingChange> {
-    let stopped = gateway.crash_suspects().stopped_contents();
+    let stopped = gateway.suspects.table().stopped_contents();
     let stored = gateway.view().stored_suspects.clone();
     let mut pending = Vec::new();
     for content in &stopped {
