--- a/src/decision/crash_suspects.rs
+++ b/src/decision/crash_suspects.rs
@@ -130,11 +130,7 @@
     /// Number of contents with a stopped request.
     #[must_use]
     pub fn stopped(&self) -> usize {
-        let mut contents = BTreeSet::new();
-        for scope in self.explained.values() {
-            contents.insert(scope.content());
-        }
-        contents.len()
+        self.stopped_contents().len()
     }
 
     /// Whether a request may run now.
@@ -265,9 +261,10 @@
 
     /// Removes the suspects whose last end is too long ago.
     pub fn expire(&mut self, now_ms: u64) {
+        let stopped = self.stopped_contents();
         let mut expired = Vec::new();
         for (content, suspect) in &self.by_content {
-            let retention_ms = if self.is_stopped(*content) {
+            let retention_ms = if stopped.contains(content) {
                 STOP_RETENTION_MS
             } else {
                 SUSPICION_MS
@@ -327,12 +324,6 @@
             .collect()
     }
 
-    fn is_stopped(&self, content: u64) -> bool {
-        self.explained
-            .values()
-            .any(|scope| scope.content() == content)
-    }
-
     /// The upstream processes that ended under the requests of a scope and whose end no
     /// other stopped request accounts for.
     fn lifetimes<'s>(&self, suspect: &'s Suspect, scope: Scope) -> BTreeSet<&'s UpstreamLifetime> {
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -13,10 +13,9 @@
 use crate::decision::crash_suspects::Fingerprint;
 
 /// Headers that clients and intermediaries set anew for each attempt.
-const PER_ATTEMPT_HEADERS: [&str; 16] = [
+const PER_ATTEMPT_HEADERS: [&str; 15] = [
     "baggage",
     "b3",
-    "forwarded",
     "idempotency-key",
     "traceparent",
     "tracestate",
