Do not rewrite records of stopped requests on which readers differ

Review: a reader that counts the ends of two such requests otherwise deleted the record that another one had written, and the other wrote it again. A record goes only when all its ends are refuted or forgotten, and is written only when it stops the request for less long than it should. Upstreams that leave are not checked at all, and one that was away counts as ended whenever its new process started. The store test also expects one record.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -48,14 +48,14 @@
 /// against the request.
 ///
 /// An upstream that does not listen any more is recorded before this returns, others
-/// later.
+/// later. Upstreams that are leaving anyway are not checked.
 pub async fn on_failed_exchange<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     client: &Arc<UpstreamClient>,
     error: &ExchangeError,
 ) {
-    if !matches!(error, ExchangeError::Disconnected(_)) {
+    if !matches!(error, ExchangeError::Disconnected(_)) || is_leaving(gateway, client) {
         return;
     }
     let failure = Failure {
@@ -80,6 +80,13 @@
     });
 }
 
+/// Whether the upstream drains, or has removed its entry and serves for a while.
+fn is_leaving<P: Platform>(gateway: &Gateway<P>, client: &UpstreamClient) -> bool {
+    let view = gateway.view();
+    let known = view.directory.get(&client.id);
+    known.is_none_or(|upstream| upstream.report.state == UpstreamState::Draining)
+}
+
 /// Records that an upstream answered a request, which refutes a suspicion.
 pub fn on_answer<P: Platform>(gateway: &Arc<Gateway<P>>, call: &Call, response: &HttpResponse) {
     let names = gateway.platform.headers();
@@ -141,15 +148,15 @@
     }
 }
 
-/// Waits for the report of a new process; one that started long after the failure
-/// counts only if the upstream was away meanwhile.
+/// Waits for the report of a new process. Unless the upstream was away meanwhile, the
+/// process must have started when the exchange failed.
 async fn wait_for_restart<P: Platform>(
     gateway: &Gateway<P>,
     failure: &Failure,
     was_away: bool,
 ) -> bool {
     let max_difference_ms = if was_away {
-        to_ms(SURVIVAL_TIMEOUT)
+        u64::MAX
     } else {
         MAX_RESTART_DIFFERENCE_MS
     };
@@ -180,8 +187,8 @@
     push_suspect(gateway, content);
 }
 
-/// Whether the directory has a process at the upstream's address that started about
-/// when the exchange failed.
+/// Whether the directory has another process at the upstream's address, which started
+/// at most this long before or after the exchange failed.
 fn has_restarted<P: Platform>(
     gateway: &Gateway<P>,
     failure: &Failure,
@@ -204,17 +211,9 @@
     false
 }
 
-/// Records an end, unless the upstream was leaving anyway.
+/// Records an end and tells the other instances.
 fn record_end<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure, shown_by: &'static str) {
     let lifetime = failure.client.lifetime();
-    let is_leaving = {
-        let view = gateway.view();
-        let known = view.directory.get(&lifetime.upstream);
-        known.is_some_and(|upstream| upstream.report.state == UpstreamState::Draining)
-    };
-    if is_leaving {
-        return;
-    }
     let now_ms = gateway.now_ms();
     let evidence = Evidence::Unreachable;
     failure.client.ejection().on_evidence(evidence, now_ms);
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -30,6 +30,7 @@
 const MAX_ISSUERS: usize = 2;
 /// Time in which an instance must accept a connection and respond.
 const ISSUER_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Why a request must not run now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
--- a/src/gateway/suspect_records.rs
+++ b/src/gateway/suspect_records.rs
@@ -60,13 +60,17 @@
         }
     }
 
-    fn has_same_evidence(&self, report: &SuspectReport) -> bool {
-        self.is_content_refuted == report.is_content_refuted
-            && self.ends.len() == report.ends.len()
-            && report.ends.iter().all(|end| self.ends.contains(end))
+    /// Whether the record stops the requests for as long as the report does.
+    fn is_sufficient(&self, report: &SuspectReport) -> bool {
+        live_ends(&self.ends) >= live_ends(&report.ends)
+            && (self.is_content_refuted || !report.is_content_refuted)
     }
 }
 
+fn live_ends(ends: &[End]) -> usize {
+    ends.iter().filter(|end| !end.is_refuted).count()
+}
+
 /// The content that a key names, if it is the key of a stopped request.
 #[must_use]
 pub fn content_of_key(key: &str) -> Option<u64> {
@@ -119,7 +123,7 @@
             continue;
         };
         let known = stored.get(content);
-        let is_stored = known.is_some_and(|known| known.has_same_evidence(&report));
+        let is_stored = known.is_some_and(|known| known.is_sufficient(&report));
         let has_room = known.is_some() || stored.len() + pending.len() < MAX_STORED;
         if !is_stored && has_room {
             pending.push(PendingChange {
@@ -129,7 +133,10 @@
         }
     }
     for content in stored.keys() {
-        if !stopped.contains(content) {
+        // Instances may differ in whether the ends suffice, but not in refuted ones.
+        let report = gateway.suspect_report(*content);
+        let is_suspect = report.is_some_and(|report| live_ends(&report.ends) > 0);
+        if !is_suspect {
             pending.push(PendingChange {
                 content: *content,
                 record: None,
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -300,6 +300,8 @@
     fleet.send_repeatedly(&route(), POISON_BODY, 4).await;
     // The record must be in the store within the platform's bound on a change.
     sleep(Duration::from_secs(2)).await;
+    let written = fleet.store.count_records(Stream::Instances, "crash/");
+    expect_that!(written, eq(1));
 
     let settings: Vec<Settings> = fleet
         .instances
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -93,6 +93,13 @@
         log.first.insert(stream, end);
     }
 
+    /// Number of records whose key begins with `prefix`.
+    pub fn count_records(&self, stream: Stream, prefix: &str) -> usize {
+        let all = self.records_from(stream, 0).records;
+        let found = all.iter().filter(|record| record.key.starts_with(prefix));
+        found.count()
+    }
+
     /// Number of calls so far, failed ones included.
     pub fn call_count(&self) -> usize {
         self.log().calls
