Give instances in tests addresses that no other test uses

reader_role::instances_that_start_together... failed now and then, since a free port was given back and another test bound it first (AddrInUse). Each instance now gets a loopback host of its own.

--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -10,10 +10,9 @@
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
 use googletest::prelude::*;
-use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::fake::{FakePlatform, FakeStore, Mode, gateway, settings, within};
+use super::fake::{FakePlatform, FakeStore, Mode, gateway, own_address, settings, within};
 
 /// The platform's bound on applying a new manifest.
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
@@ -299,7 +298,7 @@
     let store = FakeStore::new();
     store.write(Stream::Operator, "config", Some("1"));
     store.write(Stream::Upstreams, "up-1", Some("ready"));
-    let address = free_address().await;
+    let address = own_address();
     let peer = Gateway::new(FakePlatform::new(&store), settings("gate-1", address, &[]));
     follow_all(&peer);
     relay::listen(Arc::clone(&peer)).await.unwrap();
@@ -321,8 +320,3 @@
     let is_out = || follower.eligible_upstreams("s").is_empty();
     within(CONFIG_BOUND, "the draining upstream is removed", is_out).await;
 }
-
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
--- a/tests/gateway/reader_role.rs
+++ b/tests/gateway/reader_role.rs
@@ -10,11 +10,10 @@
 use chicorywing::gateway::store::Stream;
 use chicorywing::gateway::{follower, reader_role, relay};
 use googletest::prelude::*;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use super::fake::{FakePlatform, FakeStore, Mode, settings, within};
+use super::fake::{FakePlatform, FakeStore, Mode, own_address, settings, within};
 
 /// The platform's bound on a drain and on applying a new manifest.
 const BOUND: Duration = Duration::from_secs(2);
@@ -29,7 +28,7 @@
 
 impl TestInstance {
     async fn start(store: &Arc<FakeStore>, name: &str, data_centre: &str) -> Self {
-        let address = free_address().await;
+        let address = own_address();
         Self::start_at(store, name, data_centre, address).await
     }
 
@@ -70,11 +69,6 @@
     }
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 async fn fleet(store: &Arc<FakeStore>, layout: &[(&str, &str)]) -> Vec<TestInstance> {
     store.write(Stream::Operator, "config", Some("1"));
     store.write(Stream::Upstreams, "up-1", Some("ready"));
@@ -238,7 +232,7 @@
     // All instances are registered already, as after a power failure.
     let mut layout = Vec::new();
     for number in 0..8 {
-        let (name, address) = (format!("gate-{number}"), free_address().await);
+        let (name, address) = (format!("gate-{number}"), own_address());
         let record = settings(&name, address, &[]).as_instance().to_record();
         let key = format!("instance/{name}");
         store.write(Stream::Instances, &key, Some(&record));
