--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -38,6 +38,8 @@
     name: String,
     settings: serde_json::Value,
     settings_file: PathBuf,
+    /// Whether the running process has been asked to stop.
+    is_asked_to_stop: AtomicBool,
     child: Mutex<Option<Child>>,
 }
 
@@ -73,6 +75,7 @@
             settings_file: folder.join(format!("{name}.jsonc")),
             name,
             settings,
+            is_asked_to_stop: AtomicBool::new(false),
             child: Mutex::default(),
         }
     }
@@ -99,6 +102,7 @@
             .kill_on_drop(true)
             .spawn();
         *child = Some(started.unwrap());
+        self.is_asked_to_stop.store(false, Ordering::Relaxed);
     }
 
     pub async fn is_running(&self) -> bool {
@@ -136,7 +140,10 @@
         let ended = child.try_wait().map_err(|error| error.to_string())?;
         let killed = child.kill().await.map_err(|error| error.to_string());
         *slot = None;
+        let is_asked_to_stop = self.is_asked_to_stop.load(Ordering::Relaxed);
         match ended {
+            // It stopped as it was asked to, and the stop has not noticed yet.
+            Some(status) if is_asked_to_stop && status.success() => Ok(()),
             Some(status) => Err(format!(
                 "{} had exited before it was killed: {status}",
                 self.name
@@ -151,6 +158,7 @@
     /// Meanwhile it may be killed, but not restarted before it has exited.
     pub async fn stop(&self) -> Result<(), String> {
         let pid = self.child.lock().await.as_ref().and_then(Child::id);
+        self.is_asked_to_stop.store(true, Ordering::Relaxed);
         self.signal("-TERM").await;
         let began = Instant::now();
         loop {
