Do not count an upstream that could not be reached as an attempt

Cause: an upstream that ends between its probe and the send, so that no connection opens, used up one of the route's attempts, although nothing had been sent. Such a request goes on to the next upstream, up to eight times; no retry is taken from the budget, as nothing arrives anywhere.

The new test failed before (refused with one good upstream left).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,10 +22,14 @@
 /// that stood still.
 const LATE_RETRY_AFTER_MS: u64 = 100;
 
+/// Upstreams that a request may find gone, after their probes, before it is refused.
+const MAX_UNSENT: usize = 8;
+
 /// Earlier attempts to send a request.
 #[derive(Debug, Default)]
 struct AttemptHistory {
     tried: Vec<Arc<str>>,
+    sends: usize,
     may_have_run: bool,
 }
 
@@ -59,6 +63,8 @@
         history.tried.push(Arc::clone(&chosen.upstream.report.id));
         let sent = send(gateway, call, chosen).await;
         drop(permit);
+        let is_unsent = matches!(sent, SendOutcome::Unsent);
+        history.sends += usize::from(!is_unsent);
         let outcome = match sent {
             SendOutcome::Answered(response) => {
                 let is_final = !call.route.is_idempotent || !response.status.is_server_error();
@@ -68,7 +74,7 @@
                 history.may_have_run = true;
                 Outcome::Answered(response)
             }
-            SendOutcome::NotRun => history.correct_refusal(Outcome::refused(
+            SendOutcome::Unsent | SendOutcome::NotRun => history.correct_refusal(Outcome::refused(
                 Reason::Refused,
                 retry_after_ms(gateway, call),
             )),
@@ -77,6 +83,9 @@
                 Outcome::gateway_error(reason)
             }
         };
+        if is_unsent && history.tried.len() - history.sends < MAX_UNSENT {
+            continue;
+        }
         let may_retry = call.route.is_idempotent || !history.may_have_run;
         if !may_retry || !take_retry(gateway, call, &service, &history) {
             return outcome;
@@ -125,7 +134,7 @@
     history: &AttemptHistory,
 ) -> bool {
     let attempts = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
-    history.tried.len() < attempts && call.left_ms() > 0 && gateway.try_acquire_retry(service)
+    history.sends < attempts && call.left_ms() > 0 && gateway.try_acquire_retry(service)
 }
 
 fn retry_after_ms<P: Platform>(gateway: &Gateway<P>, call: &Call) -> u64 {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -31,6 +31,8 @@
 pub enum SendOutcome {
     /// The upstream answered.
     Answered(HttpResponse),
+    /// No connection could be opened, so nothing was sent.
+    Unsent,
     /// The upstream did not run the request.
     NotRun,
     /// The request failed and may have run.
@@ -87,7 +89,7 @@
         Err(error) => {
             guard.is_finished = true;
             record_evidence(gateway, call, &client, evidence_of(&error), &error);
-            return SendOutcome::NotRun;
+            return SendOutcome::Unsent;
         }
     };
     let request = upstream_request(names, call, &chosen.upstream.report.id);
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -435,3 +435,25 @@
     expect_that!(reason, eq(Reason::LateUnsent));
     expect_that!(retry_after, some(gt(Duration::ZERO)));
 }
+
+// Guards against refusing a request that was never sent because upstreams ended between
+// probe and send.
+#[gtest]
+#[tokio::test]
+async fn upstreams_that_end_before_the_send_do_not_use_up_the_attempts() {
+    let good = FakeUpstream::start("good", SERVE_AT_ONCE).await;
+    good.set_load("1,0,2,100");
+    let mut upstreams = vec![good];
+    for number in 0..4 {
+        let ending = FakeUpstream::start(&format!("ending-{number}"), SERVE_AT_ONCE).await;
+        ending.end_at_probe();
+        upstreams.push(ending);
+    }
+    let upstreams: Vec<&FakeUpstream> = upstreams.iter().collect();
+    let route = non_idempotent_route();
+    let gateway = gateway_to(&upstreams, &route);
+
+    let outcome = forward(&gateway, &call(&route)).await;
+
+    expect_that!(body(&outcome), eq(b"good"));
+}
