--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -16,8 +16,10 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::time::{Instant, sleep};
 
+use super::call_forwarding::gateway_to;
 use super::fake::{FakeStore, Mode, TestInstance, own_address, route, settings, within};
 use super::fragile::FragileUpstream;
+use super::upstream::{Behaviour, FakeUpstream};
 
 /// Ends of upstreams after which the users expect a request to be stopped.
 const ENDS_TO_KNOW: usize = 3;
@@ -296,6 +298,28 @@
     expect_that!(served, eq(60 * 8));
 }
 
+// Guards against taking lost answers for ends of upstreams.
+#[gtest]
+#[tokio::test]
+async fn connections_reset_by_a_running_upstream_are_no_ends() {
+    let upstreams = [
+        FakeUpstream::start("up-1", Behaviour::Reset).await,
+        FakeUpstream::start("up-2", Behaviour::Reset).await,
+    ];
+    let route = non_idempotent_route();
+    let gateway = gateway_to(&[&upstreams[0], &upstreams[1]], &route);
+
+    let mut statuses = Vec::new();
+    for _ in 0..2 {
+        statuses.push(status(&forward(&gateway, &call(&route, "lost")).await));
+    }
+    // Longer than the further checks of an upstream that still listened.
+    sleep(Duration::from_millis(500)).await;
+
+    expect_that!(statuses, each(eq(&502)));
+    expect_that!(gateway.suspects.table().is_empty(), eq(true));
+}
+
 // Guards against instances that restart in turn forgetting a stopped request.
 #[gtest]
 #[tokio::test]
