Soak: play requests that end upstreams on real processes, by name

Seeds 301 to 307, by hand: idempotent, in the body only, several at once, every five seconds, gateways restarted in turn, the store away, and upstreams that end for other reasons beside callers of one harmless request. Each fails if more upstreams end than three for each such request, or a harmless one is stopped.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::caller::DEADLINE_MS;
+use crate::crashing;
 use crate::env::{Disturbance, SERVICES, TestEnv, Version};
 use crate::ledger::{End, Run, SentRequest};
 
@@ -251,7 +252,9 @@
             .collect();
         let mut unknown = Vec::new();
         for run in self.runs.values().flatten() {
-            if !sent_ids.contains(run.id.as_str()) {
+            let is_known =
+                sent_ids.contains(run.id.as_str()) || run.id.starts_with(crashing::ID_PREFIX);
+            if !is_known {
                 unknown.push(format!("run of a request that no caller sent: {run:?}"));
             }
         }
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -1,6 +1,6 @@
 //! Records of what callers sent and what upstreams ran.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard};
 
 /// How a request ended for its caller.
@@ -71,6 +71,7 @@
     requests: Mutex<Vec<SentRequest>>,
     runs: Mutex<Vec<Run>>,
     crashes_ms: Mutex<Vec<u64>>,
+    harmless: Mutex<BTreeMap<String, usize>>,
 }
 
 impl Ledger {
@@ -94,6 +95,12 @@
         self.crashes_ms.lock().unwrap()
     }
 
+    /// Answers to the harmless request that all its callers send alike, by status and
+    /// the gateway's reason.
+    pub fn harmless(&self) -> MutexGuard<'_, BTreeMap<String, usize>> {
+        self.harmless.lock().unwrap()
+    }
+
     pub fn requests(&self) -> MutexGuard<'_, Vec<SentRequest>> {
         self.requests.lock().unwrap()
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -70,6 +70,8 @@
         "a request that was too late to send got 503 without retry-after",
     ),
 ];
+/// Seeds that play [`crashing::Play`] instead of drawn faults; they run alone.
+const PLAY_SEEDS: std::ops::RangeInclusive<u64> = 301..=307;
 /// Time limit of one seed, in addition to its fault phase.
 const SEED_TIME_BEYOND_FAULTS: Duration = Duration::from_mins(2);
 
@@ -82,9 +84,12 @@
     let Ok(range) = std::env::var("SOAK_SEEDS") else {
         return vec![1, 2, 102];
     };
-    let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
     let (first, last) = range.split_once('-').unwrap_or((&range, &range));
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
+    if PLAY_SEEDS.contains(&first) {
+        return (first..=last).collect();
+    }
+    let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
     seeds.extend(first..=last);
     seeds
 }
@@ -93,10 +98,15 @@
 async fn run_seed(seed: u64, size: Size) -> Vec<String> {
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
-    if crashing::is_played(seed) {
-        crashing::start(&env);
+    let play = crashing::Play::of(seed);
+    if let Some(play) = play {
+        crashing::play(&env, play).await;
+    } else {
+        if crashing::is_played(seed) {
+            crashing::start(&env);
+        }
+        faults::inject(&env, seed, size.fault_phase_s).await;
     }
-    faults::inject(&env, seed, size.fault_phase_s).await;
     env.end_faults().await;
     tokio::time::sleep(checks::RECOVERY_TIME).await;
     let steady_from_ms = env.now_ms();
@@ -111,6 +121,9 @@
     );
     let mut violations = checks::find_violations(&env, steady_from_ms);
     violations.extend(crashing::check(&env));
+    if let Some(play) = play {
+        violations.extend(crashing::check_play(&env, play));
+    }
     violations.extend(env.stop_gateways().await);
     env.keep_or_remove_logs(!violations.is_empty());
     violations
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -245,7 +245,7 @@
         let slot = self.slots.acquire().await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let is_crashing = request.start_line.contains(crashing::MARK)
-            || request.body == crashing::MARK.as_bytes();
+            || request.body.starts_with(crashing::MARK.as_bytes());
         if is_crashing {
             env.ledger.crashes_ms().push(env.now_ms());
             faults::crash_and_replace(&self.env, self.config.id.clone());
