Log which limits upstreams name, and keep them in a table

Each answer and probe is now read for it; a change gives a line with the upstream, the rate and who said so, and the gauge limited_upstreams counts those in force. Routing is unchanged.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -8,6 +8,7 @@
 pub mod ejection;
 pub mod manifest;
 pub mod probe_budget;
+pub mod rate_limits;
 pub mod rendezvous;
 pub mod retry_budget;
 pub mod run_permits;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod outcome;
 pub mod probing;
+pub mod rate_limits;
 pub mod reader_role;
 pub mod relay;
 pub mod run;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub connections_opened: Counter,
     /// Times that an upstream was ejected.
     pub ejections: Counter,
+    /// Upstreams with a limit on the rate of their requests.
+    pub limited_upstreams: Gauge<u64, AtomicU64>,
     /// Upstreams that ended while a request of this instance was in flight there.
     pub upstream_ends: Counter,
     /// Contents of requests under which upstreams ended.
@@ -89,6 +91,7 @@
             probes_failed: Counter::default(),
             connections_opened: Counter::default(),
             ejections: Counter::default(),
+            limited_upstreams: Gauge::default(),
             upstream_ends: Counter::default(),
             suspects: Gauge::default(),
             stopped_requests: Gauge::default(),
@@ -123,6 +126,8 @@
         let opened = self.connections_opened.clone();
         registry.register("connections_opened", "Connections to upstreams", opened);
         registry.register("ejections", "Upstreams ejected", self.ejections.clone());
+        let limited = self.limited_upstreams.clone();
+        registry.register("limited_upstreams", "Upstreams that name a limit", limited);
         let ends = self.upstream_ends.clone();
         registry.register("upstream_ends", "Upstreams ended under a request", ends);
         let stopped = self.stopped_requests.clone();
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -8,9 +8,10 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Call, to_ms};
+use super::rate_limits::AnswerKind;
 use super::state::Gateway;
 use super::store::Platform;
-use super::upstream_client::{ProbeError, UpstreamClient, evidence_of};
+use super::upstream_client::{ProbeError, ProbeResponse, UpstreamClient, evidence_of};
 use crate::connection::exchange::Connection;
 use crate::decision::directory::Upstream;
 use crate::decision::selection::{
@@ -190,13 +191,20 @@
     locality: Locality,
 ) -> Option<ProbedUpstream> {
     let names = gateway.platform.headers();
-    let (connection, reading) = match client.probe(names, &health_path, &gateway.metrics).await {
+    let sent_at = Instant::now();
+    let probed = client.probe(names, &health_path, &gateway.metrics).await;
+    let ProbeResponse {
+        connection,
+        reading,
+        named_limit,
+    } = match probed {
         Ok(probed) => probed,
         Err(error) => {
             on_failed_probe(&gateway, &client, &error);
             return None;
         }
     };
+    gateway.on_named_limit(&client, named_limit, sent_at, AnswerKind::Probe);
     let is_local = upstream.report.data_centre == gateway.settings().data_centre;
     let is_cold = reading.cold_left_ms > 0;
     let mut cost = cost(&reading, locality, is_local);
--- /dev/null
+++ b/src/gateway/rate_limits.rs
@@ -0,0 +1,129 @@
+//! What this instance knows of the rates that upstreams take from the whole fleet.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use http::{HeaderMap, HeaderName};
+use tokio::time::Instant;
+
+use super::state::Gateway;
+use super::store::Platform;
+use super::upstream_client::UpstreamClient;
+use crate::decision::crash_suspects::UpstreamLifetime;
+use crate::decision::rate_limits::{
+    InvalidLimit, LimitChange, LimitReport, RateLimits, Statement, parse_limits,
+};
+
+/// What kind of answer a response of an upstream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// To a request that ran.
+    Run,
+    /// To a request that the upstream rejected.
+    Rejection,
+    /// To a probe.
+    Probe,
+}
+
+/// The limit that a response names, as it is read from its headers.
+pub type NamedLimit = Result<Option<f64>, InvalidLimit>;
+
+/// Reads the limit that a response names.
+///
+/// # Errors
+/// Returns an error if the header is there without a valid value.
+pub fn read_limit(headers: &HeaderMap, name: &HeaderName) -> NamedLimit {
+    let values = headers.get_all(name).into_iter();
+    parse_limits(values.map(http::HeaderValue::as_bytes))
+}
+
+/// The limits that this instance knows.
+#[derive(Debug, Default)]
+pub struct LimitState {
+    table: Mutex<RateLimits>,
+}
+
+impl LimitState {
+    /// Locks the limits.
+    pub fn table(&self) -> MutexGuard<'_, RateLimits> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Applies what a response of an upstream says of its limit; returns what changed.
+    ///
+    /// The upstream wrote the response after `sent_at`, when its request was sent. A
+    /// rejected request says nothing by naming no limit: its response need not come from
+    /// the part of the upstream that names limits.
+    pub fn on_named_limit(
+        &self,
+        client: &UpstreamClient,
+        named: NamedLimit,
+        sent_at: Instant,
+        kind: AnswerKind,
+    ) -> LimitChange {
+        let Ok(per_s) = named else {
+            if self.log_budget.take() {
+                tracing::warn!(upstream = %client.id, "invalid limit; the known one stays in force");
+            }
+            return LimitChange::None;
+        };
+        if per_s.is_none() && kind == AnswerKind::Rejection {
+            return LimitChange::None;
+        }
+        if per_s.is_none() && self.limits.table().is_empty() {
+            return LimitChange::None;
+        }
+        let received_ms = self.now_ms();
+        let statement = Statement {
+            per_s,
+            sent_ms: received_ms.saturating_sub(super::calls::to_ms(sent_at.elapsed())),
+            received_ms,
+            is_probe: kind == AnswerKind::Probe,
+        };
+        let lifetime = client.lifetime();
+        let change = self.limits.table().on_statement(&lifetime, statement);
+        self.on_limit_change(change, &lifetime, per_s, "upstream");
+        change
+    }
+
+    /// Adds what another instance knows of limits; `source` names it in the log.
+    pub fn merge_limits(&self, reports: &[LimitReport], source: &str) {
+        let now_ms = self.now_ms();
+        for report in reports {
+            let change = self.limits.table().merge(report, now_ms);
+            self.on_limit_change(change, &report.lifetime, report.per_s, source);
+        }
+    }
+
+    /// What this instance knows of an upstream's limit.
+    #[must_use]
+    pub fn limit_report(&self, upstream: &str) -> Option<LimitReport> {
+        self.limits.table().report(upstream, self.now_ms())
+    }
+
+    fn on_limit_change(
+        &self,
+        change: LimitChange,
+        lifetime: &UpstreamLifetime,
+        per_s: Option<f64>,
+        source: &str,
+    ) {
+        if change == LimitChange::None {
+            return;
+        }
+        let limited = self.limits.table().limited();
+        self.metrics
+            .limited_upstreams
+            .set(u64::try_from(limited).unwrap_or(u64::MAX));
+        tracing::info!(
+            upstream = %lifetime.upstream,
+            started_at_ms = lifetime.started_at_ms,
+            %change,
+            per_s,
+            source,
+            "limit of an upstream changed"
+        );
+        self.notify_changed();
+    }
+}
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -10,6 +10,7 @@
 use super::crash_evidence;
 use super::outcome::Reason;
 use super::probing::{ProbedUpstream, describe};
+use super::rate_limits::{AnswerKind, read_limit};
 use super::state::{Gateway, RouteMeans};
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
@@ -105,6 +106,7 @@
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
         Ok(Ok(response)) => {
+            note_limit(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response);
             client.release(connection);
@@ -148,6 +150,27 @@
     }
 }
 
+/// Records what a response says of its upstream's limit; a response of another process
+/// than the expected one says nothing.
+fn note_limit<P: Platform>(
+    gateway: &Gateway<P>,
+    client: &UpstreamClient,
+    response: &HttpResponse,
+    sent_at: Instant,
+) {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let names = gateway.platform.headers();
+    let kind = if response.headers.contains_key(&names.stamp) {
+        AnswerKind::Run
+    } else {
+        AnswerKind::Rejection
+    };
+    let limit = read_limit(&response.headers, &names.rate_limit);
+    gateway.on_named_limit(client, limit, sent_at, kind);
+}
+
 /// Decides whether a response shows that the request ran, and records it in the
 /// upstream's ejection state.
 fn classify_response<P: Platform>(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
 use super::metrics::Metrics;
+use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
 use super::suspects::SuspectState;
@@ -78,6 +79,8 @@
     pub long_poll_started: Notify,
     /// Requests that are suspected of ending upstreams.
     pub suspects: SuspectState,
+    /// Rates that upstreams take from the whole fleet.
+    pub limits: LimitState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -116,6 +119,7 @@
             store_recheck: Notify::new(),
             long_poll_started: Notify::new(),
             suspects: SuspectState::default(),
+            limits: LimitState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -95,6 +95,8 @@
     pub upstream: HeaderName,
     /// Time until an upstream has warmed up, in milliseconds.
     pub cold_left_ms: HeaderName,
+    /// Requests per second that an upstream takes from all instances together.
+    pub rate_limit: HeaderName,
     /// Proves that an upstream, not an intermediary, made the response.
     pub stamp: HeaderName,
 }
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use super::metrics::Metrics;
+use super::rate_limits::{NamedLimit, read_limit};
 use super::store::HeaderNames;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::connection::response_memory::ResponseMemory;
@@ -73,6 +74,17 @@
     Unknown,
 }
 
+/// The response to a probe.
+#[derive(Debug)]
+pub struct ProbeResponse {
+    /// The connection of the probe, for the request.
+    pub connection: Connection,
+    /// Load and health of the upstream.
+    pub reading: Reading,
+    /// The limit that the response names.
+    pub named_limit: NamedLimit,
+}
+
 /// Client of one upstream process.
 #[derive(Debug)]
 pub struct UpstreamClient {
@@ -217,7 +229,7 @@
         names: &HeaderNames,
         health_path: &str,
         metrics: &Metrics,
-    ) -> Result<(Connection, Reading), ProbeError> {
+    ) -> Result<ProbeResponse, ProbeError> {
         let probe = self.probe_once(names, health_path, metrics);
         match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
             Ok(probed) => probed,
@@ -230,7 +242,7 @@
         names: &HeaderNames,
         health_path: &str,
         metrics: &Metrics,
-    ) -> Result<(Connection, Reading), ProbeError> {
+    ) -> Result<ProbeResponse, ProbeError> {
         metrics.probes.inc();
         let request = self.probe_request(names, health_path);
         let id_header = Some(&names.request_id);
@@ -240,7 +252,7 @@
             // are closed, and the probe is sent on a new one.
             let exchange = connection.exchange_within(&request, id_header, &memory);
             match exchange.await {
-                Ok(response) => return Ok((connection, self.parse_reading(names, &response)?)),
+                Ok(response) => return self.probe_response(names, connection, &response),
                 Err(ExchangeError::Disconnected(_)) => self.lock_idle().clear(),
                 Err(error) => return Err(error.into()),
             }
@@ -249,7 +261,20 @@
         let response = connection
             .exchange_within(&request, id_header, &memory)
             .await?;
-        Ok((connection, self.parse_reading(names, &response)?))
+        self.probe_response(names, connection, &response)
+    }
+
+    fn probe_response(
+        &self,
+        names: &HeaderNames,
+        connection: Connection,
+        response: &HttpResponse,
+    ) -> Result<ProbeResponse, ProbeError> {
+        Ok(ProbeResponse {
+            connection,
+            reading: self.parse_reading(names, response)?,
+            named_limit: read_limit(&response.headers, &names.rate_limit),
+        })
     }
 
     fn probe_request(&self, names: &HeaderNames, health_path: &str) -> HttpRequest {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -68,6 +68,7 @@
                 load: HeaderName::from_static("x-server-load"),
                 upstream: HeaderName::from_static("x-instance-id"),
                 cold_left_ms: HeaderName::from_static("x-warmup-ms"),
+                rate_limit: HeaderName::from_static("server-limit"),
                 stamp: HeaderName::from_static("x-server-stamp"),
             },
             idle_connections: Mutex::default(),
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -180,6 +180,7 @@
                 load: HeaderName::from_static("t-load"),
                 upstream: HeaderName::from_static("t-upstream"),
                 cold_left_ms: HeaderName::from_static("t-cold-ms"),
+                rate_limit: HeaderName::from_static("t-limit"),
                 stamp: HeaderName::from_static("t-stamp"),
             },
         }
