--- /dev/null
+++ b/tests/gateway/limited.rs
@@ -0,0 +1,290 @@
+//! Upstreams that name a limit on the rate of their requests, and fleets that use them.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
+use chicorywing::gateway::forward::forward;
+use chicorywing::gateway::outcome::Outcome;
+use chicorywing::gateway::settings::Settings;
+use chicorywing::gateway::store::Stream;
+use http::{HeaderMap, HeaderValue, Method};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, interval, sleep};
+
+use super::fake::{FakeStore, TestInstance, own_address, settings, within};
+use super::upstream::{id_line, read_request};
+
+/// Length of the window in which the users count the requests at an upstream.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first answer with a limit from which on the requests count.
+const TOLD_AFTER: Duration = Duration::from_millis(500);
+const WORK_TIME: Duration = Duration::from_millis(20);
+const SLOTS: usize = 2;
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The most requests that an upstream may get in 4 s: one and a half times what its
+/// limit allows, and 5.
+pub fn most_allowed(per_s: f64) -> usize {
+    let most = 1.5 * per_s * WINDOW.as_secs_f64() + 5.0;
+    (0..1_000)
+        .take_while(|count| f64::from(*count) <= most)
+        .count()
+        - 1
+}
+
+#[derive(Debug, Default)]
+struct State {
+    limits: Vec<String>,
+    is_silent_in_probes: bool,
+    first_named: Option<Instant>,
+    arrivals: Vec<(Instant, bool)>,
+}
+
+/// An upstream that names a limit while it has one.
+#[derive(Debug)]
+pub struct LimitedUpstream {
+    pub id: String,
+    pub address: SocketAddr,
+    state: Mutex<State>,
+    running: AtomicUsize,
+}
+
+impl LimitedUpstream {
+    pub async fn start(store: &Arc<FakeStore>, id: &str) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Arc::new(Self {
+            id: id.to_owned(),
+            address: listener.local_addr().unwrap(),
+            state: Mutex::default(),
+            running: AtomicUsize::new(0),
+        });
+        let report = format!("ready {}", upstream.address);
+        store.write(Stream::Upstreams, id, Some(&report));
+        let server = Arc::clone(&upstream);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(Arc::clone(&server).serve(stream));
+            }
+        });
+        upstream
+    }
+
+    /// Names these limits in one head from now on.
+    pub fn name_limits(&self, limits: &[&str]) {
+        self.state.lock().unwrap().limits = limits.iter().map(ToString::to_string).collect();
+    }
+
+    /// Leaves the limit out of the answers to probes.
+    pub fn be_silent_in_probes(&self) {
+        self.state.lock().unwrap().is_silent_in_probes = true;
+    }
+
+    /// Largest number of requests and probes in 4 s, from half a second after the limit
+    /// was first named.
+    pub fn most_arrivals(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        let Some(named) = state.first_named else {
+            return 0;
+        };
+        let counted: Vec<Instant> = state
+            .arrivals
+            .iter()
+            .map(|(at, _)| *at)
+            .filter(|at| *at >= named + TOLD_AFTER)
+            .collect();
+        let in_window = |from: &Instant| {
+            let window = counted
+                .iter()
+                .filter(|at| *at >= from && **at < *from + WINDOW);
+            window.count()
+        };
+        counted.iter().map(in_window).max().unwrap_or(0)
+    }
+
+    /// Number of requests other than probes since a time.
+    pub fn runs_since(&self, since: Instant) -> usize {
+        let state = self.state.lock().unwrap();
+        let runs = state
+            .arrivals
+            .iter()
+            .filter(|(at, is_probe)| *at >= since && !is_probe);
+        runs.count()
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        while let Some(head) = read_request(&mut stream).await {
+            let is_probe = head.starts_with("GET /health ");
+            let now = Instant::now();
+            self.state.lock().unwrap().arrivals.push((now, is_probe));
+            let running = self.running.load(Ordering::Relaxed);
+            let load = format!("t-load: {},0,{SLOTS},100\r\n", running.min(SLOTS));
+            if !is_probe {
+                self.running.fetch_add(1, Ordering::Relaxed);
+                sleep(WORK_TIME).await;
+                self.running.fetch_sub(1, Ordering::Relaxed);
+            }
+            let limits = self.limit_lines(is_probe);
+            let id = id_line(&head);
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\nt-upstream: {}\r\n{load}{limits}\
+                 content-length: 4\r\n\r\ngood",
+                self.id, self.id
+            );
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn limit_lines(&self, is_probe: bool) -> String {
+        let mut state = self.state.lock().unwrap();
+        if state.limits.is_empty() || (is_probe && state.is_silent_in_probes) {
+            return String::new();
+        }
+        state.first_named.get_or_insert_with(Instant::now);
+        let lines = state
+            .limits
+            .iter()
+            .map(|limit| format!("t-limit: {limit}\r\n"));
+        lines.collect()
+    }
+}
+
+/// Instances in two data centres, and upstreams that all of them know.
+pub struct LimitedFleet {
+    pub store: Arc<FakeStore>,
+    pub instances: Vec<TestInstance>,
+    pub upstreams: Vec<Arc<LimitedUpstream>>,
+}
+
+/// How a request of [`LimitedFleet::send_steadily`] ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub status: u16,
+    pub took: Duration,
+    pub retry_after: Option<Duration>,
+}
+
+impl LimitedFleet {
+    pub async fn start(instances: usize, upstreams: usize) -> Self {
+        let store = FakeStore::new();
+        store.write(Stream::Operator, "config", Some("1"));
+        let mut fleet = Self {
+            store,
+            instances: Vec::new(),
+            upstreams: Vec::new(),
+        };
+        for number in 0..upstreams {
+            let upstream = LimitedUpstream::start(&fleet.store, &format!("up-{number}")).await;
+            fleet.upstreams.push(upstream);
+        }
+        for number in 0..instances {
+            let mut seeds = Vec::new();
+            for instance in &fleet.instances {
+                seeds.push(instance.gateway.settings().peer_address);
+            }
+            let settings = Settings {
+                data_centre: ["dc-a", "dc-b"][number % 2].into(),
+                ..settings(&format!("gate-{number}"), own_address(), &seeds)
+            };
+            let instance = TestInstance::start(&fleet.store, settings).await;
+            fleet.instances.push(instance);
+        }
+        let all_know_all = || {
+            fleet.instances.iter().all(|instance| {
+                let view = instance.gateway.view();
+                view.instances.len() == instances && view.directory.len() == upstreams
+            })
+        };
+        within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
+        fleet
+    }
+
+    /// Replaces the process of an instance by a new one that knows nothing yet.
+    pub async fn restart(&mut self, number: usize) {
+        let mut settings = (*self.instances[number].gateway.settings()).clone();
+        settings.seeds.clear();
+        for instance in &self.instances {
+            settings
+                .seeds
+                .push(instance.gateway.settings().peer_address);
+        }
+        settings.seeds.retain(|seed| *seed != settings.peer_address);
+        drop(self.instances.remove(number));
+        let instance = TestInstance::start(&self.store, settings).await;
+        self.instances.insert(number, instance);
+    }
+
+    /// Sends requests at a steady rate through these instances in turn, each in the
+    /// background.
+    pub async fn send_steadily(
+        &self,
+        through: &[usize],
+        per_s: u32,
+        time: Duration,
+        route: &Route,
+    ) -> Vec<Ended> {
+        let mut tasks: Vec<JoinHandle<Ended>> = Vec::new();
+        let mut ticks = interval(Duration::from_secs(1) / per_s);
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            ticks.tick().await;
+            let number = through[tasks.len() % through.len()];
+            let gateway = Arc::clone(&self.instances[number].gateway);
+            let call = call(route);
+            tasks.push(tokio::spawn(async move {
+                let outcome = forward(&gateway, &call).await;
+                ended(&outcome, call.arrived.elapsed())
+            }));
+        }
+        let mut all = Vec::new();
+        for task in tasks {
+            all.push(task.await.unwrap());
+        }
+        all
+    }
+}
+
+fn ended(outcome: &Outcome, took: Duration) -> Ended {
+    let retry_after = match outcome {
+        Outcome::Answered(_) => None,
+        Outcome::GatewayError { retry_after, .. } => *retry_after,
+    };
+    Ended {
+        status: outcome.status().as_u16(),
+        took,
+        retry_after,
+    }
+}
+
+/// Number of requests that were served.
+pub fn served(all: &[Ended]) -> usize {
+    all.iter().filter(|ended| ended.status == 200).count()
+}
+
+fn call(route: &Route) -> Call {
+    let mut headers = HeaderMap::new();
+    let id = HeaderValue::from_str(&format!("call-{}", rand::random::<u64>())).unwrap();
+    headers.insert("t-id", id.clone());
+    let arrived = Instant::now();
+    Call {
+        id: Some(id),
+        method: Method::POST,
+        target: "/path".to_owned(),
+        headers,
+        body: Bytes::from_static(b"body"),
+        reservation: BodyReservation::new(&BodyMemory::new(1_000_000)),
+        route: Arc::new(route.clone()),
+        version: 1,
+        arrived,
+        deadline: arrived + Duration::from_millis(route.timeout_ms),
+        fingerprint: std::sync::OnceLock::new(),
+    }
+}
--- /dev/null
+++ b/tests/gateway/rate_limits.rs
@@ -0,0 +1,160 @@
+//! Upstreams that name a limit on the rate of their requests. Instances and upstreams
+//! talk over loopback, so these tests run on the real clock.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+use super::fake::route;
+use super::limited::{LimitedFleet, most_allowed, served};
+
+const ALL_OF_SIX: [usize; 6] = [0, 1, 2, 3, 4, 5];
+const PLAY_TIME: Duration = Duration::from_secs(6);
+/// Time after which all instances know a limit and the permits of the first seconds are
+/// used.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Share of what a limit allows that must be used if there are enough requests.
+const MIN_USED_SHARE: f64 = 0.8;
+/// Time within which a request that fits nowhere must be refused.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(150);
+
+// Guards against each instance sending to, and probing, a limited upstream as if the
+// limit were its own or were none.
+#[gtest]
+#[tokio::test]
+async fn the_fleet_keeps_the_limit_of_an_upstream() {
+    let fleet = LimitedFleet::start(6, 8).await;
+    fleet.upstreams[0].name_limits(&["1"]);
+
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 80, PLAY_TIME, &route())
+        .await;
+
+    expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(1.0)));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against a limit that only answers to requests name being missed or lifted by
+// probes.
+#[gtest]
+#[tokio::test]
+async fn the_fleet_keeps_a_limit_that_probes_do_not_show() {
+    let fleet = LimitedFleet::start(6, 8).await;
+    fleet.upstreams[0].be_silent_in_probes();
+    fleet.upstreams[0].name_limits(&["0.5"]);
+
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 80, PLAY_TIME, &route())
+        .await;
+
+    expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(0.5)));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against equal shares of a limit, most of which go to instances without callers.
+#[gtest]
+#[tokio::test]
+async fn a_limit_is_used_also_if_callers_enter_by_two_instances() {
+    let fleet = LimitedFleet::start(6, 8).await;
+    for upstream in &fleet.upstreams[..3] {
+        upstream.name_limits(&["3"]);
+    }
+    fleet
+        .send_steadily(&[1, 4], 80, SETTLE_TIME, &route())
+        .await;
+
+    let since = Instant::now();
+    let all = fleet.send_steadily(&[1, 4], 80, PLAY_TIME, &route()).await;
+
+    let allowed = 3.0 * PLAY_TIME.as_secs_f64();
+    for upstream in &fleet.upstreams[..3] {
+        let runs = u32::try_from(upstream.runs_since(since)).unwrap();
+        expect_that!(f64::from(runs), ge(MIN_USED_SHARE * allowed));
+        expect_that!(upstream.most_arrivals(), le(most_allowed(3.0)));
+    }
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against requests that wait for a limited upstream until their deadline, and
+// against refusals that all ask their callers back at the same moment.
+#[gtest]
+#[tokio::test]
+async fn what_fits_nowhere_is_refused_at_once_and_asked_back_spread_out() {
+    let fleet = LimitedFleet::start(6, 4).await;
+    for upstream in &fleet.upstreams {
+        upstream.name_limits(&["2"]);
+    }
+    fleet
+        .send_steadily(&ALL_OF_SIX, 40, SETTLE_TIME, &route())
+        .await;
+
+    let since = Instant::now();
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 40, PLAY_TIME, &route())
+        .await;
+
+    let allowed = 4.0 * 2.0 * PLAY_TIME.as_secs_f64();
+    let mut runs = 0;
+    for upstream in &fleet.upstreams {
+        expect_that!(upstream.most_arrivals(), le(most_allowed(2.0)));
+        runs += u32::try_from(upstream.runs_since(since)).unwrap();
+    }
+    expect_that!(f64::from(runs), ge(MIN_USED_SHARE * allowed));
+    let refused: Vec<_> = all.iter().filter(|ended| ended.status != 200).collect();
+    let mut retry_times = Vec::new();
+    for ended in &refused {
+        expect_that!(ended.status, eq(503), "{ended:?}");
+        expect_that!(ended.took, le(MAX_REFUSAL_TIME), "{ended:?}");
+        retry_times.extend(ended.retry_after.map(|time| time.as_millis()));
+    }
+    expect_that!(retry_times.len(), eq(refused.len()));
+    retry_times.sort_unstable();
+    retry_times.dedup();
+    expect_that!(retry_times.len(), gt(refused.len() / 10));
+}
+
+// Guards against a limit that stays in force after the upstream has stopped naming it.
+#[gtest]
+#[tokio::test]
+async fn a_limit_ends_when_the_upstream_no_longer_names_it() {
+    let fleet = LimitedFleet::start(6, 4).await;
+    for upstream in &fleet.upstreams {
+        upstream.name_limits(&["1"]);
+    }
+    fleet
+        .send_steadily(&ALL_OF_SIX, 40, PLAY_TIME / 2, &route())
+        .await;
+    for upstream in &fleet.upstreams {
+        expect_that!(upstream.most_arrivals(), le(most_allowed(1.0)));
+        upstream.name_limits(&[]);
+    }
+
+    fleet
+        .send_steadily(&ALL_OF_SIX, 40, Duration::from_secs(3), &route())
+        .await;
+
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 40, Duration::from_secs(1), &route())
+        .await;
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against an instance that has just started using a limited upstream freely.
+#[gtest]
+#[tokio::test]
+async fn an_instance_that_starts_knows_the_limits_before_it_is_ready() {
+    let mut fleet = LimitedFleet::start(4, 4).await;
+    fleet.upstreams[0].name_limits(&["0.5"]);
+    fleet
+        .send_steadily(&[0, 1, 2, 3], 40, SETTLE_TIME, &route())
+        .await;
+
+    fleet.restart(2).await;
+    while !fleet.instances[2].gateway.is_ready() {
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    let limits = fleet.instances[2].gateway.limits.table().limited();
+    expect_that!(limits, eq(1));
+}
