Keep the limits that upstreams name, over the whole fleet

Callers saw nothing; an upstream in need got as many requests as its peers, and was probed for each request of its service. Cause: no instance read its limit, and a limit is one for the fleet, so no instance could keep it alone.

One instance, the principal by rendezvous hashing, gives out the permits of an upstream from one token bucket; requests for limited upstreams ask it, are sent without a probe, and what gets no permit goes to the others or is refused at once with a return time of its own. Limits are pushed to all instances, come with fetched records and are asked for at the start.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -11,9 +11,9 @@
 use tokio::time::{Instant, sleep};
 
 use super::calls::{Call, to_ms};
+use super::peer_push::{News, push};
 use super::state::Gateway;
 use super::store::Platform;
-use super::suspect_push::push_suspect;
 use super::suspects::hex;
 use super::upstream_client::{ListenState, UpstreamClient};
 use crate::connection::exchange::{ExchangeError, HttpResponse};
@@ -105,7 +105,7 @@
             "suspicion refuted: an upstream answered the request"
         );
         gateway.on_suspects_changed();
-        push_suspect(gateway, fingerprint.content);
+        push(gateway, &News::Suspect(fingerprint.content));
     }
 }
 
@@ -184,7 +184,7 @@
         "suspicion refuted: the upstream has not ended"
     );
     gateway.on_suspects_changed();
-    push_suspect(gateway, content);
+    push(gateway, &News::Suspect(content));
 }
 
 /// Whether the directory has another process at the upstream's address, which started
@@ -237,7 +237,7 @@
     );
     if is_new {
         gateway.on_suspects_changed();
-        push_suspect(gateway, fingerprint.content);
+        push(gateway, &News::Suspect(fingerprint.content));
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::calls::Call;
+use super::limited_choice::{self, Chosen};
 use super::outcome::{Outcome, Reason};
 use super::probing::{ProbedUpstream, describe, probe_candidates, take_best};
 use super::run_permit::{self, Denial};
@@ -57,10 +58,12 @@
             }
         };
         if !permit.is_valid(call) {
-            chosen.client.release(chosen.connection);
+            let unused = chosen.upstream;
+            unused.client.release(unused.connection);
             continue;
         }
-        history.tried.push(Arc::clone(&chosen.upstream.report.id));
+        let id = &chosen.upstream.upstream.report.id;
+        history.tried.push(Arc::clone(id));
         let sent = send(gateway, call, chosen).await;
         drop(permit);
         let is_unsent = matches!(sent, SendOutcome::Unsent);
@@ -151,7 +154,8 @@
     }
 }
 
-/// Probes upstreams until one has room, and returns the best.
+/// Finds a limited upstream with a permit to give, or probes others until one has room, and
+/// returns the best.
 ///
 /// # Errors
 /// Returns a refusal if no upstream has room in time.
@@ -160,13 +164,16 @@
     call: &Call,
     service: &Arc<str>,
     history: &AttemptHistory,
-) -> Result<ProbedUpstream, Outcome> {
+) -> Result<Chosen<P>, Outcome> {
     loop {
         if call.left_ms() == 0 {
             return Err(Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS));
         }
-        let (mut probed, candidates) =
-            probe_candidates(gateway, call, service, &history.tried).await;
+        let tried = &history.tried;
+        if let Some(chosen) = limited_choice::choose(gateway, call, service, tried, false).await {
+            return Ok(chosen);
+        }
+        let (mut probed, candidates) = probe_candidates(gateway, call, service, tried).await;
         let best = take_best(gateway, service, &mut probed);
         for other in probed {
             other.client.release(other.connection);
@@ -180,8 +187,26 @@
         } else {
             pending.decide(load.as_ref())
         };
+        if admission != Admission::Send
+            && let Some(chosen) = limited_choice::choose(gateway, call, service, tried, true).await
+        {
+            if let Some(best) = best {
+                best.client.release(best.connection);
+            }
+            return Ok(chosen);
+        }
+        if candidates == 0
+            && let Some(refusal) = limited_choice::refuse(gateway, call, service, tried)
+        {
+            return Err(refusal);
+        }
         match (admission, best) {
-            (Admission::Send, Some(best)) => return Ok(best),
+            (Admission::Send, Some(upstream)) => {
+                return Ok(Chosen {
+                    upstream,
+                    permit: None,
+                });
+            }
             (Admission::Refuse { retry_after_ms }, best) => {
                 log_refusal(
                     gateway,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -44,6 +44,9 @@
     registry: Registry,
     requests: EndCounters,
     sends: EndCounters,
+    send_permits: EndCounters,
+    /// Upstreams whose permits this instance gives out.
+    pub issued_limits: Gauge<u64, AtomicU64>,
     /// Sends beyond the first one of a request.
     pub retries: Counter,
     /// Probes of an upstream's load.
@@ -86,6 +89,8 @@
             registry: Registry::with_prefix("chicorywing"),
             requests: EndCounters::default(),
             sends: EndCounters::default(),
+            send_permits: EndCounters::default(),
+            issued_limits: Gauge::default(),
             retries: Counter::default(),
             probes: Counter::default(),
             probes_failed: Counter::default(),
@@ -126,6 +131,18 @@
         let opened = self.connections_opened.clone();
         registry.register("connections_opened", "Connections to upstreams", opened);
         registry.register("ejections", "Upstreams ejected", self.ejections.clone());
+        let permits = self.send_permits.clone();
+        registry.register(
+            "send_permits",
+            "Permits asked for by how that ended",
+            permits,
+        );
+        let issued = self.issued_limits.clone();
+        registry.register(
+            "issued_limits",
+            "Upstreams whose permits it gives out",
+            issued,
+        );
         let limited = self.limited_upstreams.clone();
         registry.register("limited_upstreams", "Upstreams that name a limit", limited);
         let ends = self.upstream_ends.clone();
@@ -161,6 +178,11 @@
         count(&self.sends, end);
     }
 
+    /// Counts a request for a permit to send to a limited upstream by its outcome.
+    pub fn on_send_permit(&self, end: &'static str) {
+        count(&self.send_permits, end);
+    }
+
     /// Counts a call to the store as answered or failed.
     pub fn on_store_call(&self, is_answered: bool) {
         count(
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -30,6 +30,8 @@
     NoUpstream,
     /// No upstream could serve the request in time.
     NoRoom,
+    /// All upstreams that it may use are at the rates that they name.
+    RateLimited,
     /// Every upstream that was tried refused the request without running it.
     Refused,
     /// Upstreams ended while they ran the request, so it is not run again.
@@ -54,6 +56,7 @@
             | Self::Overloaded
             | Self::NoUpstream
             | Self::NoRoom
+            | Self::RateLimited
             | Self::Refused
             | Self::CrashesUpstreams
             | Self::CopyRunning
--- a/src/gateway/suspect_push.rs
+++ b/src/gateway/peer_push.rs
@@ -1,4 +1,5 @@
-//! Tells other instances of requests under which upstreams ended.
+//! Tells other instances at once what they must know: requests under which upstreams
+//! ended, and limits that upstreams name.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,25 +14,37 @@
 use super::store::Platform;
 use crate::decision::rendezvous::weight;
 
-/// Instances that are told of a suspect directly; beyond that, the readers of the data
-/// centres and as many others, and these tell theirs.
+/// Instances that are told directly; beyond that, the readers of the data centres and as
+/// many others, and these tell theirs.
 const MAX_DIRECT_PEERS: usize = 16;
 /// Delay before a peer that could not be told is told once more.
 const PUSH_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time in which a peer must respond.
+const PUSH_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Tells other instances, in the background, what this one knows of a suspect request.
+/// What to tell.
+#[derive(Clone, Debug)]
+pub enum News {
+    /// The suspect requests with this content.
+    Suspect(u64),
+    /// The limit of this upstream.
+    Limit(Arc<str>),
+}
+
+/// Tells other instances, in the background, what this one knows.
 ///
 /// Instances that cannot be told get it with the records that they fetch.
-pub fn push_suspect<P: Platform>(gateway: &Arc<Gateway<P>>, content: u64) {
+pub fn push<P: Platform>(gateway: &Arc<Gateway<P>>, news: &News) {
     for address in push_targets(gateway) {
         let gateway = Arc::clone(gateway);
+        let news = news.clone();
         tokio::spawn(async move {
-            if push_to(&gateway, content, address).await.is_ok() {
+            if push_to(&gateway, &news, address).await.is_ok() {
                 return;
             }
             sleep(PUSH_RETRY_DELAY).await;
-            if let Err(error) = push_to(&gateway, content, address).await {
-                tracing::debug!(%address, %error, "failed to tell an instance of a suspect request");
+            if let Err(error) = push_to(&gateway, &news, address).await {
+                tracing::debug!(%address, ?news, %error, "failed to tell an instance");
             }
         });
     }
@@ -39,12 +52,29 @@
 
 async fn push_to<P: Platform>(
     gateway: &Gateway<P>,
-    content: u64,
+    news: &News,
     address: SocketAddr,
 ) -> Result<(), RelayError> {
-    let reports = gateway.suspect_report(content).into_iter().collect();
-    let client = PeerClient::connect(address).await?;
-    client.report_suspects(reports).await
+    match news {
+        News::Suspect(content) => {
+            let reports: Vec<_> = gateway.suspect_report(*content).into_iter().collect();
+            let call = |client: PeerClient| {
+                let reports = reports.clone();
+                async move { client.report_suspects(reports).await }
+            };
+            gateway.peers.call(address, PUSH_TIMEOUT, call).await
+        }
+        News::Limit(upstream) => {
+            let reports: Vec<_> = gateway.limit_report(upstream).into_iter().collect();
+            let call = |client: PeerClient| {
+                let reports = reports.clone();
+                async move { client.exchange_limits(reports).await }
+            };
+            let known = gateway.peers.call(address, PUSH_TIMEOUT, call).await?;
+            gateway.merge_limits(&known, &address.to_string());
+            Ok(())
+        }
+    }
 }
 
 /// All other instances if they are few; otherwise those that rank first as readers of
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,69 @@
+//! Connections to other instances that are kept for reuse, and which of them respond.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::relay::{PeerClient, RelayError};
+use crate::decision::peer_contacts::PeerContacts;
+
+/// Clients of other instances by address.
+#[derive(Debug, Default)]
+pub struct Peers {
+    clients: Mutex<HashMap<SocketAddr, PeerClient>>,
+    contacts: Mutex<PeerContacts>,
+}
+
+impl Peers {
+    /// Locks what is known of who responds.
+    pub fn contacts(&self) -> MutexGuard<'_, PeerContacts> {
+        self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls another instance on a kept connection, and on a new one if that fails, since
+    /// a connection may have gone silent while its peer responds.
+    ///
+    /// # Errors
+    /// Returns an error if no call succeeds, each within `limit`.
+    pub async fn call<T, F>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: impl Fn(PeerClient) -> F,
+    ) -> Result<T, RelayError>
+    where
+        F: Future<Output = Result<T, RelayError>>,
+    {
+        let kept = self.clients().get(&address).cloned();
+        if let Some(client) = kept {
+            let response = timeout(limit, call(client)).await;
+            if let Ok(Ok(response)) = response {
+                return Ok(response);
+            }
+            self.clients().remove(&address);
+        }
+        let fresh = async {
+            let client = PeerClient::connect(address).await?;
+            let response = call(client.clone()).await?;
+            Ok((client, response))
+        };
+        let (client, response) = timeout(limit, fresh)
+            .await
+            .unwrap_or(Err(RelayError::Timeout))?;
+        self.clients().insert(address, client);
+        Ok(response)
+    }
+
+    /// Closes kept connections to instances that are not registered any more.
+    pub fn retain(&self, is_registered: impl Fn(&SocketAddr) -> bool) {
+        self.clients().retain(|address, _| is_registered(address));
+        self.contacts().retain(is_registered);
+    }
+
+    fn clients(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerClient>> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -44,11 +44,37 @@
     is_cold: bool,
 }
 
+impl ProbedUpstream {
+    /// An upstream that is used without a probe.
+    #[must_use]
+    pub fn without_probe(
+        upstream: Arc<Upstream>,
+        client: Arc<UpstreamClient>,
+        connection: Connection,
+    ) -> Self {
+        let reading = Reading {
+            load: None,
+            cold_left_ms: 0,
+            is_healthy: true,
+        };
+        Self {
+            upstream,
+            client,
+            connection,
+            reading,
+            read_at: Instant::now(),
+            cost: 1.0,
+            is_cold: false,
+        }
+    }
+}
+
 /// Draws upstreams at random and probes them in rounds, until their readings
 /// suffice.
 ///
 /// Returns those that answered, and the number of upstreams that could be drawn.
-/// Upstreams in `tried` and ejected ones are left out.
+/// Upstreams in `tried`, ejected ones and those with a limit are left out; a probe would
+/// count against the limit.
 pub async fn probe_candidates<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
@@ -67,7 +93,8 @@
             }
             ejection.failure_share()
         };
-        if tried.contains(&upstream.report.id) {
+        let is_limited = gateway.limit_of(&upstream.report).is_some();
+        if is_limited || tried.contains(&upstream.report.id) {
             continue;
         }
         candidates.push(Candidate {
@@ -248,7 +275,10 @@
     for index in 0..probed.len() {
         let candidate = &probed[index];
         let id = &candidate.upstream.report.id;
-        let may_send = gateway.may_send(&candidate.upstream, candidate.reading.is_healthy)
+        // The probe may have named a limit, or another instance since.
+        let is_limited = gateway.limit_of(&candidate.upstream.report).is_some();
+        let may_send = !is_limited
+            && gateway.may_send(&candidate.upstream, candidate.reading.is_healthy)
             && (!candidate.is_cold || gateway.try_acquire_cold_send(id, cold_per_s));
         if may_send {
             return Some(probed.remove(index));
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -1,17 +1,21 @@
 //! What this instance knows of the rates that upstreams take from the whole fleet.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::{HeaderMap, HeaderName};
 use tokio::time::Instant;
 
+use super::limited_choice::LimitedChoice;
+use super::peer_push::{News, push};
 use super::state::Gateway;
 use super::store::Platform;
 use super::upstream_client::UpstreamClient;
 use crate::decision::crash_suspects::UpstreamLifetime;
+use crate::decision::directory::UpstreamReport;
 use crate::decision::rate_limits::{
-    InvalidLimit, LimitChange, LimitReport, RateLimits, Statement, parse_limits,
+    InvalidLimit, LimitChange, LimitReport, RateLimit, RateLimits, Statement, parse_limits,
 };
+use crate::decision::send_permits::SendPermits;
 
 /// What kind of answer a response of an upstream is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +44,9 @@
 #[derive(Debug, Default)]
 pub struct LimitState {
     table: Mutex<RateLimits>,
+    permits: Mutex<SendPermits>,
+    /// Until when upstreams have no permits for this instance.
+    pub choice: LimitedChoice,
 }
 
 impl LimitState {
@@ -47,32 +54,43 @@
     pub fn table(&self) -> MutexGuard<'_, RateLimits> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Locks the permits that this instance gives out.
+    pub fn permits(&self) -> MutexGuard<'_, SendPermits> {
+        self.permits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets what is no longer needed.
+    pub fn expire(&self, now_ms: u64, is_present: impl Fn(&str) -> bool) {
+        self.table().expire(now_ms, is_present);
+        self.permits().expire(now_ms);
+        self.choice.expire(now_ms);
+    }
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Applies what a response of an upstream says of its limit; returns what changed.
+    /// Applies what a response of an upstream says of its limit, and tells the other
+    /// instances of a change.
     ///
     /// The upstream wrote the response after `sent_at`, when its request was sent. A
     /// rejected request says nothing by naming no limit: its response need not come from
     /// the part of the upstream that names limits.
     pub fn on_named_limit(
-        &self,
+        self: &Arc<Self>,
         client: &UpstreamClient,
         named: NamedLimit,
         sent_at: Instant,
         kind: AnswerKind,
-    ) -> LimitChange {
+    ) {
         let Ok(per_s) = named else {
             if self.log_budget.take() {
                 tracing::warn!(upstream = %client.id, "invalid limit; the known one stays in force");
             }
-            return LimitChange::None;
+            return;
         };
-        if per_s.is_none() && kind == AnswerKind::Rejection {
-            return LimitChange::None;
-        }
-        if per_s.is_none() && self.limits.table().is_empty() {
-            return LimitChange::None;
+        let may_end_limit = kind != AnswerKind::Rejection && !self.limits.table().is_empty();
+        if per_s.is_none() && !may_end_limit {
+            return;
         }
         let received_ms = self.now_ms();
         let statement = Statement {
@@ -84,7 +102,16 @@
         let lifetime = client.lifetime();
         let change = self.limits.table().on_statement(&lifetime, statement);
         self.on_limit_change(change, &lifetime, per_s, "upstream");
-        change
+        if change != LimitChange::None {
+            push(self, &News::Limit(lifetime.upstream));
+        }
+    }
+
+    /// The limit in force of the upstream that sent a report, if there is one.
+    #[must_use]
+    pub fn limit_of(&self, report: &UpstreamReport) -> Option<RateLimit> {
+        let limits = self.limits.table();
+        limits.limit(&report.id, report.started_at_ms)
     }
 
     /// Adds what another instance knows of limits; `source` names it in the log.
@@ -112,6 +139,7 @@
         if change == LimitChange::None {
             return;
         }
+        self.limits.choice.forget(&lifetime.upstream);
         let limited = self.limits.table().limited();
         self.metrics
             .limited_upstreams
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,5 +1,5 @@
 //! RPC by which instances fetch store records from each other and share what they
-//! know of requests that end upstreams.
+//! know of requests that end upstreams and of the limits of upstreams.
 //!
 //! Records keep their offsets in the store's streams, so any instance can serve
 //! them. [`super::reader_role`] decides which peer an instance fetches from.
@@ -18,9 +18,11 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
 use crate::decision::crash_suspects::{Scope, SuspectReport};
+use crate::decision::rate_limits::LimitReport;
 
 /// Time in which a peer must accept a connection or, beyond the wait of a long
 /// poll, respond.
@@ -30,8 +32,9 @@
 /// Streams that instances fetch from each other.
 const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
 
-/// Most reports of suspects in one response.
-const MAX_REPORTS: usize = 256;
+/// Most reports of suspects, and of limits, in one response.
+pub const MAX_REPORTS: usize = 256;
+
 /// How far an instance has read a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamPosition {
@@ -51,7 +54,7 @@
 }
 
 /// Response to [`Relay::records`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RecordsResponse {
     /// Streams with missing records; empty if the requester is up to date.
     pub streams: Vec<StreamRecords>,
@@ -64,6 +67,10 @@
     pub suspects: Vec<SuspectReport>,
     /// Position after them.
     pub suspects_position: u64,
+    /// Limits of upstreams that changed after the requester's position, at most 256.
+    pub limits: Vec<LimitReport>,
+    /// Position after them.
+    pub limits_position: u64,
 }
 
 /// Response to [`Relay::acquire_run`].
@@ -78,11 +85,12 @@
 /// Calls between instances of the gateway.
 #[tarpc::service]
 pub trait Relay {
-    /// Returns the records and suspects that the requester lacks; a long poll that
+    /// Returns the records, suspects and limits that the requester lacks; a long poll that
     /// waits up to `wait_ms` for the first one if this instance reads the store.
     async fn records(
         positions: Vec<StreamPosition>,
         suspects_position: u64,
+        limits_position: u64,
         wait_ms: u64,
     ) -> RecordsResponse;
 
@@ -98,6 +106,15 @@
         report: Option<SuspectReport>,
     ) -> PermitResponse;
 
+    /// Tells this instance of limits of upstreams, and returns all that it knows.
+    async fn exchange_limits(reports: Vec<LimitReport>) -> Vec<LimitReport>;
+
+    /// Asks for a permit to send one request to a limited upstream.
+    async fn acquire_send(ask: PermitAsk) -> PermitAnswer;
+
+    /// Gives a permit to send back.
+    async fn return_send_permit(returned: PermitReturn);
+
     /// Gives a permit back, with what the run has shown.
     async fn release_run(scope: Scope, token: u64, report: Option<SuspectReport>);
 }
@@ -134,17 +151,19 @@
         _: context::Context,
         positions: Vec<StreamPosition>,
         suspects_position: u64,
+        limits_position: u64,
         wait_ms: u64,
     ) -> RecordsResponse {
         let gateway = &self.gateway;
+        let missing = || missing_records(gateway, &positions, suspects_position, limits_position);
         let mut changes = gateway.watch_changes();
-        let mut response = missing_records(gateway, &positions, suspects_position);
+        let mut response = missing();
         let wait = Duration::from_millis(wait_ms).min(MAX_LONG_POLL_WAIT);
         let until = Instant::now() + wait;
         while response.is_empty() && response.is_reader {
             match timeout_at(until, changes.changed()).await {
                 Ok(Ok(())) => {
-                    response = missing_records(gateway, &positions, suspects_position);
+                    response = missing();
                 }
                 Ok(Err(_)) | Err(_) => break,
             }
@@ -174,6 +193,25 @@
         }
     }
 
+    async fn exchange_limits(
+        self,
+        _: context::Context,
+        reports: Vec<LimitReport>,
+    ) -> Vec<LimitReport> {
+        let gateway = &self.gateway;
+        gateway.merge_limits(&reports, "another instance");
+        let limits = gateway.limits.table();
+        limits.reports_after(0, MAX_REPORTS, gateway.now_ms()).0
+    }
+
+    async fn acquire_send(self, _: context::Context, ask: PermitAsk) -> PermitAnswer {
+        send_permit::answer(&self.gateway, ask).await
+    }
+
+    async fn return_send_permit(self, _: context::Context, returned: PermitReturn) {
+        self.gateway.return_permit(&returned);
+    }
+
     async fn release_run(
         self,
         _: context::Context,
@@ -189,7 +227,7 @@
 
 impl RecordsResponse {
     fn is_empty(&self) -> bool {
-        self.streams.is_empty() && self.suspects.is_empty()
+        self.streams.is_empty() && self.suspects.is_empty() && self.limits.is_empty()
     }
 }
 
@@ -197,6 +235,7 @@
     gateway: &Gateway<P>,
     positions: &[StreamPosition],
     suspects_position: u64,
+    limits_position: u64,
 ) -> RecordsResponse {
     let view = gateway.view();
     let mut streams = Vec::new();
@@ -218,10 +257,14 @@
     let suspects = gateway.suspects.table();
     let (suspects, suspects_position) =
         suspects.reports_after(suspects_position, MAX_REPORTS, now_ms);
+    let limits = gateway.limits.table();
+    let (limits, limits_position) = limits.reports_after(limits_position, MAX_REPORTS, now_ms);
     RecordsResponse {
         streams,
         suspects,
         suspects_position,
+        limits,
+        limits_position,
         is_reader: gateway.is_active_reader(),
         lapses_left_ms: gateway.lapse_window_left_ms(),
     }
@@ -262,6 +305,8 @@
     address: SocketAddr,
     /// Position up to which the peer has told its suspects on this connection.
     suspects_position: u64,
+    /// The same for its limits.
+    limits_position: u64,
 }
 
 impl PeerClient {
@@ -281,6 +326,7 @@
             client,
             address,
             suspects_position: 0,
+            limits_position: 0,
         })
     }
 
@@ -307,6 +353,7 @@
             context::current(),
             positions,
             self.suspects_position,
+            self.limits_position,
             wait_ms,
         );
         let response = timeout(wait + RESPONSE_TIMEOUT, request)
@@ -320,12 +367,14 @@
             gateway.extend_lapse_window(response.lapses_left_ms);
         }
         let source = self.address.to_string();
-        // The records may make this instance ready, so the suspects come first.
+        // The records may make this instance ready, so the suspects and limits come first.
         gateway.merge_suspects(&response.suspects, &source);
+        gateway.merge_limits(&response.limits, &source);
         for StreamRecords { stream, records } in response.streams {
             gateway.apply_records(stream, records, true, &source);
         }
         self.suspects_position = response.suspects_position;
+        self.limits_position = response.limits_position;
         gateway.set_heard_from_peer();
         Ok(response.is_reader)
     }
@@ -356,6 +405,36 @@
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
+    /// Tells the peer of limits of upstreams, and returns all that it knows.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn exchange_limits(
+        &self,
+        reports: Vec<LimitReport>,
+    ) -> Result<Vec<LimitReport>, RelayError> {
+        let request = self.client.exchange_limits(context::current(), reports);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Asks the peer for a permit to send one request to a limited upstream.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn acquire_send(&self, ask: PermitAsk) -> Result<PermitAnswer, RelayError> {
+        let request = self.client.acquire_send(context::current(), ask);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Gives a permit to send back.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails; the permit then expires.
+    pub async fn return_send_permit(&self, returned: PermitReturn) -> Result<(), RelayError> {
+        let request = self.client.return_send_permit(context::current(), returned);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
     /// Gives a permit back.
     ///
     /// # Errors
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,7 @@
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
-use super::{follower, reader_role, relay, suspect_records};
+use super::{follower, limit_exchange, reader_role, relay, suspect_records};
 use crate::process::run::RunError;
 
 /// Time for which a stopping instance still accepts connections: the balancer
@@ -94,6 +94,7 @@
     tokio::spawn(follower::check_long_polls(Arc::clone(gateway)));
     tokio::spawn(follower::register_instance(Arc::clone(gateway)));
     tokio::spawn(suspect_records::keep_stored(Arc::clone(gateway)));
+    tokio::spawn(limit_exchange::run(Arc::clone(gateway)));
     tokio::spawn(remove_expired(Arc::clone(gateway)));
 }
 
@@ -110,6 +111,20 @@
         gateway.suspects.table().expire(now_ms);
         let view = gateway.view();
         gateway.upstream_clients.prune(&view.directory);
+        gateway
+            .limits
+            .expire(now_ms, |id| view.directory.get(id).is_some());
+        gateway.peers.retain(|address| {
+            let instances = view.instances.values();
+            instances
+                .into_iter()
+                .any(|instance| instance.address == *address)
+        });
+        let issued = gateway.limits.permits().len();
+        gateway
+            .metrics
+            .issued_limits
+            .set(u64::try_from(issued).unwrap_or(u64::MAX));
     }
 }
 
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -167,7 +167,7 @@
             }
             Err(error) => {
                 tracing::info!(%address, %error, "no response to a request for a run permit");
-                gateway.suspects.unreachable_peers.insert(address);
+                gateway.on_peer_call(address, false);
             }
         }
     }
@@ -190,12 +190,8 @@
     let mut ranked = vec![(weight(&subject, &settings.name), None)];
     for (name, instance) in &gateway.view().instances {
         let is_other = instance.address != settings.peer_address;
-        if is_other
-            && !gateway
-                .suspects
-                .unreachable_peers
-                .contains(&instance.address)
-        {
+        let contacts = gateway.peers.contacts();
+        if is_other && !contacts.is_paused(&instance.address, gateway.now_ms()) {
             ranked.push((weight(&subject, name), Some(instance.address)));
         }
     }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -8,9 +8,11 @@
 
 use super::calls::{Call, to_ms};
 use super::crash_evidence;
+use super::limited_choice::Chosen;
 use super::outcome::Reason;
-use super::probing::{ProbedUpstream, describe};
+use super::probing::describe;
 use super::rate_limits::{AnswerKind, read_limit};
+use super::send_permit::SendPermit;
 use super::state::{Gateway, RouteMeans};
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
@@ -55,12 +57,16 @@
     }
 }
 
-/// Sends a request on the connection of its upstream's probe.
+/// Sends a request on the connection of its upstream's probe, or with a permit.
 pub async fn send<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
-    chosen: ProbedUpstream,
+    chosen: Chosen<P>,
 ) -> SendOutcome {
+    let Chosen {
+        upstream: chosen,
+        mut permit,
+    } = chosen;
     let names = gateway.platform.headers();
     let client = Arc::clone(&chosen.client);
     let expected_ms = expected_ms(&chosen.reading, gateway.route_means(&call.route).work_ms);
@@ -74,6 +80,7 @@
             held_ms = call.held_ms(),
             left_ms = call.left_ms(),
             expected_ms,
+            permit_from = permit.as_ref().map(SendPermit::issuer_text),
             "request sent"
         );
     }
@@ -93,6 +100,17 @@
             return SendOutcome::Unsent;
         }
     };
+    if permit.as_mut().is_some_and(|permit| !permit.try_use()) {
+        tracing::info!(
+            request = call.id_text(),
+            upstream = %client.id,
+            "request not sent: its permit has expired"
+        );
+        guard.is_finished = true;
+        client.ejection().on_abandoned();
+        client.release(connection);
+        return SendOutcome::Unsent;
+    }
     let request = upstream_request(names, call, &chosen.upstream.report.id);
     let sent_at = Instant::now();
     let deadline = attempt_deadline(call, expected_ms, sent_at);
@@ -153,7 +171,7 @@
 /// Records what a response says of its upstream's limit; a response of another process
 /// than the expected one says nothing.
 fn note_limit<P: Platform>(
-    gateway: &Gateway<P>,
+    gateway: &Arc<Gateway<P>>,
     client: &UpstreamClient,
     response: &HttpResponse,
     sent_at: Instant,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -285,9 +285,7 @@
     if callers.in_flight() > MAX_CONCURRENT_REQUESTS {
         return Outcome::refused(Reason::Overloaded, OVERLOAD_RETRY_AFTER_MS);
     }
-    let manifest = gateway
-        .manifest()
-        .filter(|_| gateway.knows_stopped_requests());
+    let manifest = gateway.manifest().filter(|_| gateway.knows_fleet_state());
     let names = gateway.platform.headers();
     match calls::read_call(request, manifest.as_ref(), names, &gateway.body_memory).await {
         Ok(call) => forward(gateway, &call).await,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
 use super::metrics::Metrics;
+use super::peers::Peers;
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
@@ -40,8 +41,9 @@
 const LAPSE_WINDOW_MS: u64 = 2_500;
 
 /// Time after the start in which the instance is not ready without the stopped
-/// requests, which it gets from the stream of instances or from another instance.
-const STOPPED_REQUESTS_TIMEOUT_MS: u64 = 3_000;
+/// requests, which it gets from the stream of instances or from another instance, and
+/// without the limits of upstreams, which only other instances know.
+const FLEET_STATE_TIMEOUT_MS: u64 = 3_000;
 
 /// Moving averages over the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,6 +81,8 @@
     pub long_poll_started: Notify,
     /// Requests that are suspected of ending upstreams.
     pub suspects: SuspectState,
+    /// Connections to other instances, and which of them respond.
+    pub peers: Peers,
     /// Rates that upstreams take from the whole fleet.
     pub limits: LimitState,
     started_at: Instant,
@@ -119,6 +123,7 @@
             store_recheck: Notify::new(),
             long_poll_started: Notify::new(),
             suspects: SuspectState::default(),
+            peers: Peers::default(),
             limits: LimitState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
@@ -332,18 +337,30 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.are_upstreams_loaded.load(Ordering::Relaxed)
-            && self.knows_stopped_requests()
+            && self.knows_fleet_state()
             && !self.is_stopping()
             && self.view().manifest.is_some()
     }
 
-    /// Whether this instance has been told which requests are stopped, or has waited
-    /// long enough for it.
+    /// Whether this instance has been told which requests are stopped and which upstreams
+    /// are limited, or has waited long enough for it.
     #[must_use]
-    pub fn knows_stopped_requests(&self) -> bool {
-        self.are_instances_loaded()
-            || self.has_heard_from_peer.load(Ordering::Relaxed)
-            || self.now_ms() >= STOPPED_REQUESTS_TIMEOUT_MS
+    pub fn knows_fleet_state(&self) -> bool {
+        let knows_stopped_requests =
+            self.are_instances_loaded() || self.has_heard_from_peer.load(Ordering::Relaxed);
+        (knows_stopped_requests && self.knows_limits()) || self.now_ms() >= FLEET_STATE_TIMEOUT_MS
+    }
+
+    /// Whether another instance has told this one which upstreams are limited, or there is
+    /// none that could.
+    #[must_use]
+    pub fn knows_limits(&self) -> bool {
+        if self.has_heard_from_peer.load(Ordering::Relaxed) {
+            return true;
+        }
+        let me = self.settings().peer_address;
+        let instances = &self.view().instances;
+        self.are_instances_loaded() && instances.values().all(|instance| instance.address == me)
     }
 
     /// Starts the planned stop: the instance is no longer ready, and no longer counts
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -1,12 +1,8 @@
 //! What this instance knows of requests that are suspected of ending upstreams.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use super::state::Gateway;
 use super::store::Platform;
@@ -16,8 +12,6 @@
 
 /// Failed exchanges whose upstreams are watched for their end at the same time.
 const MAX_END_WATCHES: usize = 64;
-/// Time for which an instance that did not respond is not asked again.
-const UNREACHABLE_TIME: Duration = Duration::from_secs(2);
 
 /// Suspects, permits and the limits of their I/O.
 #[derive(Debug)]
@@ -26,8 +20,6 @@
     permits: Mutex<RunPermits>,
     /// Limits the failed exchanges whose upstreams are watched for their end.
     pub end_watches: Arc<Semaphore>,
-    /// Instances that did not respond to a request for a run permit.
-    pub unreachable_peers: UnreachablePeers,
 }
 
 impl Default for SuspectState {
@@ -36,7 +28,6 @@
             table: Mutex::default(),
             permits: Mutex::default(),
             end_watches: Arc::new(Semaphore::new(MAX_END_WATCHES)),
-            unreachable_peers: UnreachablePeers::default(),
         }
     }
 }
@@ -53,33 +44,6 @@
     }
 }
 
-/// Instances that did not respond to a request for a permit recently.
-#[derive(Debug, Default)]
-pub struct UnreachablePeers {
-    until: Mutex<HashMap<SocketAddr, Instant>>,
-}
-
-impl UnreachablePeers {
-    /// Whether an instance did not respond within the last 2 s.
-    #[must_use]
-    pub fn contains(&self, address: &SocketAddr) -> bool {
-        let until = self.lock();
-        until.get(address).is_some_and(|at| *at > Instant::now())
-    }
-
-    /// Records that an instance did not respond.
-    pub fn insert(&self, address: SocketAddr) {
-        let now = Instant::now();
-        let mut until = self.lock();
-        until.retain(|_, at| *at > now);
-        until.insert(address, now + UNREACHABLE_TIME);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
-        self.until.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 impl<P: Platform> Gateway<P> {
     /// What this instance knows of the requests with this content.
     #[must_use]
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -131,7 +131,8 @@
         !self.lock_idle().is_empty()
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    /// Takes an idle connection that its upstream has not closed.
+    pub fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.lock_idle();
         while let Some(connection) = idle.pop() {
             if connection.is_usable() {
@@ -212,7 +213,11 @@
         self.open(metrics).await
     }
 
-    async fn open(&self, metrics: &Metrics) -> Result<Connection, ProbeError> {
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    /// [`ProbeError::Unreachable`] if that fails.
+    pub async fn open(&self, metrics: &Metrics) -> Result<Connection, ProbeError> {
         metrics.connections_opened.inc();
         Connection::open(self.address, CONNECT_TIMEOUT)
             .await
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -14,7 +14,7 @@
 use chicorywing::gateway::store::{
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
-use chicorywing::gateway::{follower, reader_role, relay, suspect_records};
+use chicorywing::gateway::{follower, limit_exchange, reader_role, relay, suspect_records};
 use http::HeaderName;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -429,6 +429,7 @@
     tokio::spawn(follower::check_long_polls(Arc::clone(&gateway)));
     tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
     tokio::spawn(reader_role::run(Arc::clone(&gateway)));
+    tokio::spawn(limit_exchange::run(Arc::clone(&gateway)));
     tokio::spawn(suspect_records::keep_stored(gateway));
 }
 
