Ask more instances before taking this one for isolated

Cause: without log and list the only contact is gossip, each time with one instance drawn at random, and instances that have ended stay on the list; five draws in the isolation timeout of 3 s may all fall on them. Ruled out: a stall (no request waited for the catch-up of 0.5 s, the other instance served on) and a late list (its failures count as fresh).

After 1.2 s without contact up to 16 instances are asked.

--- a/src/process/fence.rs
+++ b/src/process/fence.rs
@@ -94,10 +94,16 @@
         now_ms.saturating_sub(self.list_read_ms.load(Ordering::Relaxed))
     }
 
+    /// Returns the time since any other process responded.
+    #[must_use]
+    pub fn contact_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.contact_ms.load(Ordering::Relaxed))
+    }
+
     /// Whether no other process has responded within [`ISOLATION_TIMEOUT_MS`].
     #[must_use]
     pub fn is_isolated(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.contact_ms.load(Ordering::Relaxed)) > ISOLATION_TIMEOUT_MS
+        self.contact_age_ms(now_ms) > ISOLATION_TIMEOUT_MS
     }
 
     /// Whether new work may be sent to an upstream now.
--- a/src/process/gossip.rs
+++ b/src/process/gossip.rs
@@ -25,6 +25,11 @@
 const FANOUT: usize = 1;
 /// Peers per exchange for urgent news, which the receivers pass on to as many.
 const URGENT_FANOUT: usize = 3;
+/// Time without contact after which more peers are chosen, as most of those that are
+/// still listed may have ended: two intervals, well within the isolation timeout.
+const MAX_CONTACT_AGE_MS: u64 = 1_200;
+/// Peers per exchange then.
+const NO_CONTACT_FANOUT: usize = 16;
 /// Time in which a peer must respond to a gossip message.
 const GOSSIP_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time in which a peer must send its join state or a snapshot.
@@ -62,7 +67,14 @@
         let is_urgent = timeout(GOSSIP_INTERVAL, node.gossip_now.notified())
             .await
             .is_ok();
-        let fanout = if is_urgent { URGENT_FANOUT } else { FANOUT };
+        let contact_age_ms = node.fence.contact_age_ms(node.clock.now_ms());
+        let fanout = if contact_age_ms > MAX_CONTACT_AGE_MS {
+            NO_CONTACT_FANOUT
+        } else if is_urgent {
+            URGENT_FANOUT
+        } else {
+            FANOUT
+        };
         let targets = node.members().gossip_targets();
         let chosen: Vec<SocketAddr> = targets.sample(&mut rand::rng(), fanout).copied().collect();
         gossip_with_each(&node, &versions, chosen).await;
--- a/tests/fleet/scenarios.rs
+++ b/tests/fleet/scenarios.rs
@@ -163,6 +163,27 @@
     expect_that!(env.ledger.max_runs_per_key(), eq(1));
 }
 
+// Guards against an instance that takes itself for isolated because its random choice of
+// whom to gossip with fell on ended instances only.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_beside_many_ended_ones_serve_without_log_and_list() {
+    let mut env = TestEnv::start(6, &[upstream("a"), upstream("b"), upstream("c")]).await;
+
+    for victim in ["entry-2", "entry-3", "entry-4", "entry-5", "log", "list"] {
+        env.kill(victim).await;
+    }
+
+    let until = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < until {
+        for entry in [0, 1] {
+            let lookup = env.lookup(entry, "/any").await;
+            expect_that!(lookup.reason, not(eq("isolated")), "{lookup:?}");
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_data_centre_that_is_out_gets_no_calls() {
