--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -47,7 +47,7 @@
 
 /// Time after the first start of all instances until all know each other;
 /// before that they would not agree on the readers.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
+const SETTLE_TIME_MS: u64 = 4_000;
 
 /// Leaves reading the store to the seeds when all instances start for the first
 /// time; must be called before the followers start.
@@ -72,11 +72,16 @@
     });
 }
 
+/// Whether all instances have just started for the first time, so that they do not all
+/// know each other yet.
+pub fn is_settling<P: Platform>(gateway: &Gateway<P>) -> bool {
+    gateway.settings().is_first_start && gateway.now_ms() < SETTLE_TIME_MS
+}
+
 /// Polls the reader of the data centre, or takes on the reader role, for the
 /// life of the process.
 pub async fn run<P: Platform>(gateway: Arc<Gateway<P>>) {
     let mut follower = PeerFollower {
-        started_at: Instant::now(),
         suspects: HashMap::new(),
         client: None,
         takeover: None,
@@ -109,7 +114,7 @@
                 }
             }
             // Seeds may start a little later and read the store from then on.
-            Ok(false) | Err(_) if follower.is_settling(&gateway) => {
+            Ok(false) | Err(_) if is_settling(&gateway) => {
                 sleep(TAKEOVER_RETRY_DELAY).await;
             }
             Ok(false) if source.is_without_store => {
@@ -142,17 +147,12 @@
 /// The peer that this instance polls, and the peers that failed recently.
 #[derive(Debug)]
 struct PeerFollower {
-    started_at: Instant,
     suspects: HashMap<SocketAddr, (PeerState, Instant)>,
     client: Option<PeerClient>,
     takeover: Option<(SocketAddr, Instant)>,
 }
 
 impl PeerFollower {
-    fn is_settling<P: Platform>(&self, gateway: &Gateway<P>) -> bool {
-        gateway.settings().is_first_start && self.started_at.elapsed() < SETTLE_TIME
-    }
-
     fn choose<P: Platform>(&mut self, gateway: &Gateway<P>) -> RecordSource {
         self.suspects
             .retain(|_, (_, until)| *until > Instant::now());
@@ -161,7 +161,7 @@
             suspect.map_or(PeerState::Usable, |(peer_state, _)| *peer_state)
         };
         let view = gateway.view();
-        if self.is_settling(gateway) || view.instances.len() < 2 {
+        if is_settling(gateway) || view.instances.len() < 2 {
             choose_seed(&gateway.settings(), peer_state)
         } else {
             choose_source(gateway, &view, peer_state)
--- a/src/gateway/send_permit.rs
+++ b/src/gateway/send_permit.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::reader_role;
 use super::relay::{PeerClient, RelayError};
 use super::state::Gateway;
 use super::store::Platform;
@@ -36,6 +37,8 @@
 /// Silence of the principal after which its deputy gives out the whole rate: an instance
 /// that has lost contact with most others notices within this time.
 const TAKEOVER_MS: u64 = 3_000;
+/// Instances that one which does not know all of them assumes at least.
+const MIN_ASSUMED_INSTANCES: usize = 16;
 /// Delay after which a permit is asked for again if no instance responded.
 const NO_ISSUER_RETRY_MS: u64 = 500;
 
@@ -288,8 +291,11 @@
         let shortest_silence_ms = before_me
             .map(|address| contacts.lost_for_ms(&address, now_ms))
             .min();
-        let share = if !contacts.is_in_majority(&others, now_ms) {
-            1.0 / f64::from(u32::try_from(ranked.len()).unwrap_or(u32::MAX))
+        let equal_share = |instances| 1.0 / f64::from(u32::try_from(instances).unwrap_or(u32::MAX));
+        let share = if reader_role::is_settling(self) {
+            equal_share(ranked.len().max(MIN_ASSUMED_INSTANCES))
+        } else if !contacts.is_in_majority(&others, now_ms) {
+            equal_share(ranked.len())
         } else if shortest_silence_ms.is_none_or(|silence_ms| silence_ms >= TAKEOVER_MS) {
             1.0
         } else {
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -14,6 +14,7 @@
 
 use crate::env::TestEnv;
 use crate::ledger::{End, SentRequest};
+use crate::limits;
 use crate::wire;
 
 /// Deadline that a caller sends to the gateway, from the start of the request.
@@ -82,6 +83,9 @@
         {
             candidates.retain(|number| gateways[*number].is_in_rotation.load(Ordering::Relaxed));
         }
+        if let Some(entries) = limits::entries(self.env.seed) {
+            candidates = entries.to_vec();
+        }
         *candidates.choose(&mut self.random).unwrap()
     }
 
--- a/tests/soak/crashing.rs
+++ b/tests/soak/crashing.rs
@@ -38,7 +38,7 @@
 /// Whether the seed plays such a request. Upstreams then have no proxy before them,
 /// since one would accept connections for an upstream that has ended.
 pub fn is_played(seed: u64) -> bool {
-    seed > 300 || (seed > 100 && seed.is_multiple_of(2))
+    (301..=400).contains(&seed) || (seed > 100 && seed.is_multiple_of(2))
 }
 
 /// How such requests are played without drawn faults, by hand.
--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -277,6 +277,9 @@
         for data_centre in DATA_CENTRES {
             self.end_evacuation(data_centre);
         }
+        for running in self.upstreams.lock().await.iter().flatten() {
+            running.upstream.name_limit(self, None);
+        }
         for (position, slot) in self.upstreams.lock().await.iter_mut().enumerate() {
             match slot {
                 Some(running) => running.upstream.set_fault(Fault::None),
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -259,6 +259,12 @@
             if env.seed > 100 {
                 faults.extend([Fault::SendsEndlessAnswers; 3]);
             }
+            if env.seed > 400 && self.variant.is_multiple_of(3) {
+                upstream.name_limit(env, Some(["0.5", "2", "6"][self.variant / 3 % 3]));
+                sleep(self.duration).await;
+                upstream.name_limit(env, None);
+                return;
+            }
             upstream.set_fault(faults[self.variant % faults.len()]);
             sleep(self.duration).await;
             upstream.set_fault(Fault::None);
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -66,8 +66,28 @@
     pub draining_since_ms: Option<u64>,
 }
 
+/// A limit that an upstream names from some time on; `None` if it names none any more.
+#[derive(Clone, Debug)]
+pub struct NamedLimit {
+    pub upstream: String,
+    pub limit: Option<String>,
+    pub named_ms: u64,
+    /// When the first answer with it was sent.
+    pub first_told_ms: Option<u64>,
+}
+
+/// A request or probe at an upstream that has named a limit.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub upstream: String,
+    pub at_ms: u64,
+    pub is_probe: bool,
+}
+
 #[derive(Debug, Default)]
 pub struct Ledger {
+    named_limits: Mutex<Vec<NamedLimit>>,
+    arrivals: Mutex<Vec<Arrival>>,
     requests: Mutex<Vec<SentRequest>>,
     runs: Mutex<Vec<Run>>,
     crashes_ms: Mutex<Vec<u64>>,
@@ -95,6 +115,16 @@
         self.crashes_ms.lock().unwrap()
     }
 
+    /// Limits that upstreams named, in order.
+    pub fn named_limits(&self) -> MutexGuard<'_, Vec<NamedLimit>> {
+        self.named_limits.lock().unwrap()
+    }
+
+    /// Requests and probes at upstreams that have named a limit.
+    pub fn arrivals(&self) -> MutexGuard<'_, Vec<Arrival>> {
+        self.arrivals.lock().unwrap()
+    }
+
     /// Answers to the harmless request that all its callers send alike, by status and
     /// the gateway's reason.
     pub fn harmless(&self) -> MutexGuard<'_, BTreeMap<String, usize>> {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod faults;
 mod gateway;
 mod ledger;
+mod limits;
 mod proxy;
 mod store;
 mod upstream;
@@ -86,7 +87,7 @@
     };
     let (first, last) = range.split_once('-').unwrap_or((&range, &range));
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
-    if PLAY_SEEDS.contains(&first) {
+    if PLAY_SEEDS.contains(&first) || limits::PLAY_SEEDS.contains(&first) {
         return (first..=last).collect();
     }
     let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
@@ -99,7 +100,9 @@
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
     let play = crashing::Play::of(seed);
-    if let Some(play) = play {
+    if let Some(play) = limits::Play::of(seed) {
+        limits::play(&env, play).await;
+    } else if let Some(play) = play {
         crashing::play(&env, play).await;
     } else {
         if crashing::is_played(seed) {
@@ -107,6 +110,7 @@
         }
         faults::inject(&env, seed, size.fault_phase_s).await;
     }
+    let faults_ended_ms = env.now_ms();
     env.end_faults().await;
     tokio::time::sleep(checks::RECOVERY_TIME).await;
     let steady_from_ms = env.now_ms();
@@ -121,11 +125,12 @@
     );
     let mut violations = checks::find_violations(&env, steady_from_ms);
     violations.extend(crashing::check(&env));
+    violations.extend(limits::check(&env, faults_ended_ms));
     if let Some(play) = play {
         violations.extend(crashing::check_play(&env, play));
     }
     violations.extend(env.stop_gateways().await);
-    env.keep_or_remove_logs(!violations.is_empty());
+    env.keep_or_remove_logs(!violations.is_empty() || std::env::var("SOAK_TRACE").is_ok());
     violations
 }
 
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -1,8 +1,8 @@
 //! Stand-in for an upstream with slots, a queue, a warm-up and faults.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::io::BufReader;
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::env::TestEnv;
-use crate::ledger::Run;
+use crate::ledger::{Arrival, NamedLimit, Run};
 use crate::wire::{self, Message};
 use crate::{crashing, faults};
 
@@ -71,6 +71,7 @@
     sequence: AtomicU64,
     started_at_unix_ms: u64,
     is_gone: AtomicBool,
+    limit: Mutex<Option<String>>,
 }
 
 /// An upstream with the task that serves it.
@@ -98,6 +99,7 @@
             sequence: AtomicU64::new(0),
             started_at_unix_ms: unix_ms(),
             is_gone: AtomicBool::new(false),
+            limit: Mutex::default(),
         });
         let listener = bind(upstream.config.address).await;
         let server = Arc::clone(&upstream);
@@ -141,6 +143,31 @@
         self.fault.send_replace(fault);
     }
 
+    /// Names a limit in each answer from now on, or none any more.
+    pub fn name_limit(&self, env: &TestEnv, limit: Option<&str>) {
+        let known = std::mem::replace(&mut *self.limit.lock().unwrap(), limit.map(str::to_owned));
+        if known.is_none() && limit.is_none() {
+            return;
+        }
+        env.ledger.named_limits().push(NamedLimit {
+            upstream: self.config.id.clone(),
+            limit: limit.map(str::to_owned),
+            named_ms: env.now_ms(),
+            first_told_ms: None,
+        });
+    }
+
+    /// The limit to name in an answer that is sent now.
+    fn told_limit(&self, env: &TestEnv) -> Option<String> {
+        let limit = self.limit.lock().unwrap().clone()?;
+        let mut named = env.ledger.named_limits();
+        let newest = named
+            .iter_mut()
+            .rfind(|named| named.upstream == self.config.id)?;
+        newest.first_told_ms.get_or_insert(env.now_ms());
+        Some(limit)
+    }
+
     /// Makes the upstream cold again.
     pub fn restart_warm_up(&self, env: &TestEnv) {
         self.cold_until_ms
@@ -216,9 +243,17 @@
             let start_line = "HTTP/1.1 421 Misdirected";
             return wire::write(stream, start_line, &headers, b"").await.is_ok();
         }
+        let is_probe = request.start_fields().1 == "/healthz";
+        if self.limit.lock().unwrap().is_some() {
+            env.ledger.arrivals().push(Arrival {
+                upstream: self.config.id.clone(),
+                at_ms: env.now_ms(),
+                is_probe,
+            });
+        }
         let load = self.load_header();
         let fault = *self.fault.borrow();
-        if request.start_fields().1 == "/healthz" {
+        if is_probe {
             let is_unhealthy = fault == Fault::ReportsUnhealthy
                 || self.draining_since_ms.load(Ordering::Relaxed) > 0;
             let start_line = if is_unhealthy {
@@ -227,12 +262,14 @@
                 "HTTP/1.1 200 Well"
             };
             let cold_ms = self.cold_left_ms(env).to_string();
-            let headers = [
+            let limit = self.told_limit(env);
+            let mut headers = vec![
                 ("x-request-id", id),
                 ("x-instance-id", self.config.id.as_str()),
                 ("x-server-load", &load),
                 ("x-warmup-ms", &cold_ms),
             ];
+            headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
             return wire::write(stream, start_line, &headers, b"").await.is_ok();
         }
         let is_full = self.waiting.load(Ordering::Relaxed) >= SLOTS;
@@ -255,7 +292,7 @@
         let is_connected = self.work(fault, stream).await;
         env.ledger.end_run(index, env.now_ms());
         drop(slot);
-        is_connected && self.reply(fault, request, stream).await
+        is_connected && self.reply(env, fault, request, stream).await
     }
 
     fn new_run(&self, env: &TestEnv, request: &Message) -> Run {
@@ -295,6 +332,7 @@
     /// open.
     async fn reply(
         &self,
+        env: &TestEnv,
         fault: Fault,
         request: &Message,
         stream: &mut BufReader<TcpStream>,
@@ -306,10 +344,12 @@
             "{id} {method} {target} {}",
             String::from_utf8_lossy(&request.body)
         );
-        let headers = [
+        let limit = self.told_limit(env);
+        let mut headers = vec![
             ("x-request-id", id),
             ("x-server-stamp", self.config.id.as_str()),
         ];
+        headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
         let ok_line = "HTTP/1.1 200 OK";
         match fault {
             Fault::Errors => {
