--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -207,6 +207,43 @@
         fleet
     }
 
+    /// Adds instances that neither reach the others nor are reached by them.
+    pub async fn add_cut_off(&mut self, count: usize) {
+        let connected = self.instances.len();
+        for number in connected..connected + count {
+            let name = format!("gate-{number}");
+            let own_store = FakeStore::new();
+            own_store.write(Stream::Operator, "config", Some("1"));
+            for upstream in &self.upstreams {
+                let report = format!("ready {}", upstream.address);
+                own_store.write(Stream::Upstreams, &upstream.id, Some(&report));
+            }
+            for other in 0..connected + count {
+                if other != number {
+                    write_unreachable(&own_store, other);
+                }
+            }
+            write_unreachable(&self.store, number);
+            let settings = settings(&name, own_address(), &[]);
+            let instance = TestInstance::start(&own_store, settings).await;
+            self.instances.push(instance);
+        }
+        let all = connected + count;
+        let all_know_all = || {
+            let mut views = self
+                .instances
+                .iter()
+                .map(|instance| instance.gateway.view());
+            views.all(|view| view.instances.len() == all && view.manifest.is_some())
+        };
+        within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
+        within(SETTLE_TIMEOUT, "all are ready", || {
+            let mut instances = self.instances.iter();
+            instances.all(|instance| instance.gateway.is_ready())
+        })
+        .await;
+    }
+
     /// Replaces the process of an instance by a new one that knows nothing yet.
     pub async fn restart(&mut self, number: usize) {
         let mut settings = (*self.instances[number].gateway.settings()).clone();
@@ -252,6 +289,12 @@
     }
 }
 
+/// Registers an instance at an address where nothing listens.
+fn write_unreachable(store: &FakeStore, number: usize) {
+    let key = format!("instance/gate-{number}");
+    store.write(Stream::Instances, &key, Some("127.0.0.1:9 dc-a"));
+}
+
 fn ended(outcome: &Outcome, took: Duration) -> Ended {
     let retry_after = match outcome {
         Outcome::Answered(_) => None,
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -158,3 +158,19 @@
     let limits = fleet.instances[2].gateway.limits.table().limited();
     expect_that!(limits, eq(1));
 }
+
+// Guards against each part of a fleet that is cut into parts using a limit as a whole.
+#[gtest]
+#[tokio::test]
+async fn instances_that_are_cut_off_do_not_use_a_limit_again() {
+    let mut fleet = LimitedFleet::start(4, 8).await;
+    fleet.add_cut_off(2).await;
+    fleet.upstreams[0].name_limits(&["3"]);
+
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 80, PLAY_TIME, &route())
+        .await;
+
+    expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(3.0)));
+    expect_that!(served(&all), eq(all.len()));
+}
