Follow a store that returns from an older copy

In a drill the store loses its newest records, and gives their offsets out again. Callers then got requests sent to upstreams that had begun to drain at such an offset: the instance read on from the offset that it had kept, so new records below it were skipped for good. Its own records (addresses of instances, stopped requests) stayed lost, as it took them for stored.

Each answer's era is read. In a new one a reader compares the records of the last 10 s with what it had read, finds the end of the common part, and applies all beyond it; what the store lost stays in force until it is written again, upstreams for 6 s. Each record has the era it was written in, so instances tell each other their whole state in a new era, or at a start, and the newer record wins: a copy brings back no upstream that had left and no evacuation that had ended. Readers write the instances' lost records again, one data centre after the other.

--- a/src/decision/directory.rs
+++ b/src/decision/directory.rs
@@ -124,6 +124,19 @@
         Change::Left
     }
 
+    /// Removes a ready upstream after `grace_ms`, unless it reports again; one that drains
+    /// stays as it is.
+    pub fn lapse(&mut self, id: &str, grace_ms: u64, now_ms: u64) -> Change {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return Change::None;
+        };
+        if entry.upstream.report.state != UpstreamState::Ready {
+            return Change::None;
+        }
+        entry.expires_at_ms = Some(now_ms + grace_ms);
+        Change::Lapsed
+    }
+
     /// Removes the lapsed entries that did not come back in time and returns
     /// their names.
     pub fn expire(&mut self, now_ms: u64) -> Vec<Arc<str>> {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -11,7 +11,7 @@
 use super::relay;
 use super::state::Gateway;
 use super::store::{Platform, Records, StoreError, Stream};
-use super::view::instance_key;
+use super::view::{Extent, instance_key};
 
 /// Range of the first retry delay while the store is unreachable; the delay
 /// doubles with each failure.
@@ -142,7 +142,21 @@
                 }
                 let has_records = !records.records.is_empty();
                 is_after_records = has_records;
-                gateway.apply_records(stream, records, is_loaded, "store");
+                let known_era = gateway.view().copy(stream).era;
+                if records.era < known_era {
+                    tracing::info!(%stream, era = records.era, known_era, "late answer of an era of the store that has ended; ignored");
+                    continue;
+                }
+                if known_era != 0 && records.era > known_era {
+                    is_loaded = follow_new_era(&gateway, stream, records, is_loaded).await;
+                    continue;
+                }
+                let extent = if is_loaded {
+                    Extent::Following
+                } else {
+                    Extent::Newest
+                };
+                gateway.apply_records(stream, records, extent, "store");
                 let is_first = !is_loaded;
                 is_loaded = true;
                 if needs_short_poll {
@@ -171,6 +185,79 @@
     }
 }
 
+/// Compares a store that has returned from a copy with what was read before; returns
+/// whether the stream can be followed from there.
+///
+/// `read` was the first answer in the new era; it is used if it is a snapshot and the
+/// store no longer has the records to compare.
+async fn follow_new_era<P: Platform>(
+    gateway: &Gateway<P>,
+    stream: Stream,
+    read: Records,
+    is_loaded: bool,
+) -> bool {
+    let (from, end) = {
+        let view = gateway.view();
+        let from = view.copy(stream).history_start(gateway.now_ms());
+        (from, view.next_offset(stream))
+    };
+    let era = read.era;
+    tracing::warn!(%stream, era, from, end, "the store has returned from a copy; comparing");
+    // The long polls of other streams may not end for a while.
+    gateway.store_recheck.notify_waiters();
+    let compared = read_all(gateway, stream, from, era).await;
+    gateway.metrics.on_store_call(compared.is_ok());
+    match compared {
+        Ok(records) => {
+            let next_offset = records.next_offset;
+            gateway.apply_records(stream, records, Extent::NewEra { from }, "store");
+            let lost = gateway.view().copy(stream).lost_keys().len();
+            tracing::warn!(%stream, era, next_offset, lost, "records that the store has lost stay in force");
+            true
+        }
+        Err(error) if !is_loaded && matches!(error, StoreError::Compacted) => {
+            tracing::warn!(%stream, era, "the store lacks the records to compare; merging its newest");
+            gateway.apply_records(stream, read, Extent::Newest, "store");
+            true
+        }
+        Err(error) => {
+            tracing::warn!(%stream, %error, "cannot compare the store's records; reading its newest");
+            sleep(retry_delay(1)).await;
+            false
+        }
+    }
+}
+
+/// Reads all records of an era from an offset on.
+async fn read_all<P: Platform>(
+    gateway: &Gateway<P>,
+    stream: Stream,
+    from: u64,
+    era: u64,
+) -> Result<Records, StoreError> {
+    let mut all = Records {
+        era,
+        records: Vec::new(),
+        next_offset: from,
+    };
+    loop {
+        let read = gateway
+            .platform
+            .read(stream, all.next_offset, Duration::ZERO);
+        let page = read.await?;
+        if page.era != era {
+            return Err(StoreError::InvalidResponse(
+                "the store returned from another copy meanwhile".to_owned(),
+            ));
+        }
+        if page.next_offset == all.next_offset {
+            return Ok(all);
+        }
+        all.next_offset = page.next_offset;
+        all.records.extend(page.records);
+    }
+}
+
 fn retry_delay(failures: u32) -> Duration {
     let first_ms = rand::rng().random_range(RETRY_DELAY_MS);
     let doublings = failures.saturating_sub(1).min(RETRY_DOUBLINGS);
@@ -201,7 +288,11 @@
                 if began.elapsed() > PROMPT_RESPONSE_TIME {
                     gateway.store_recheck.notify_waiters();
                 }
-                gateway.apply_records(Stream::Operator, records, true, "store");
+                if records.era == gateway.view().copy(Stream::Operator).era {
+                    gateway.apply_records(Stream::Operator, records, Extent::Following, "store");
+                } else {
+                    gateway.store_recheck.notify_waiters();
+                }
             }
             Err(error) => {
                 gateway.metrics.on_store_call(false);
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -1,4 +1,4 @@
-//! Keeps what instances know of limits the same: pulls it at the start, exchanges it with
+//! Keeps what instances know of limits the same: fetches it at the start, exchanges it with
 //! random other instances while there are limits, and checks limits that nobody confirms.
 
 use std::net::SocketAddr;
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::rate_limits::AnswerKind;
-use super::relay::{MAX_REPORTS, PeerClient};
+use super::relay::{self, MAX_REPORTS, PeerClient};
 use super::state::Gateway;
 use super::store::Platform;
 
@@ -29,7 +29,9 @@
 pub async fn run<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
         let has_learned = gateway.knows_limits();
-        if !has_learned || gateway.limits.table().limited() > 0 {
+        if !has_learned {
+            relay::fetch_from_any_peer(&gateway).await;
+        } else if gateway.limits.table().limited() > 0 {
             exchange(&gateway).await;
         }
         if !has_learned && !gateway.knows_limits() {
@@ -61,7 +63,6 @@
             match response {
                 Ok(reports) => {
                     gateway.merge_limits(&reports, &address.to_string());
-                    gateway.set_heard_from_peer();
                 }
                 Err(error) => tracing::debug!(%address, %error, "failed to exchange limits"),
             }
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -78,6 +78,20 @@
     gateway.settings().is_first_start && gateway.now_ms() < SETTLE_TIME_MS
 }
 
+/// Whether this instance knows all others, unless some have just started.
+///
+/// After the first start of all, it does once it follows the store at the end of the
+/// settle time; if the store is away then, some may be registered that it does not know.
+pub fn knows_all_instances<P: Platform>(gateway: &Gateway<P>) -> bool {
+    if !gateway.settings().is_first_start || gateway.has_settled() {
+        return true;
+    }
+    if !is_settling(gateway) && gateway.is_active_reader() {
+        gateway.set_settled();
+    }
+    gateway.has_settled()
+}
+
 /// Polls the reader of the data centre, or takes on the reader role, for the
 /// life of the process.
 pub async fn run<P: Platform>(gateway: Arc<Gateway<P>>) {
@@ -109,6 +123,9 @@
         match follower.fetch(&gateway, address, wait).await {
             Ok(true) => {
                 follower.takeover = None;
+                if !is_settling(&gateway) {
+                    gateway.set_settled();
+                }
                 if !source.is_reader {
                     gateway.set_reader_role(false, "another instance reads the store");
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
 use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
+use super::view::Extent;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
 
@@ -40,7 +41,9 @@
 pub struct StreamPosition {
     /// The stream.
     pub stream: Stream,
-    /// Offset of the first record that the instance lacks.
+    /// Era in which another instance has told it the whole state; 0 if none has.
+    pub told_era: u64,
+    /// Offset of the first record that the instance lacks, in that era.
     pub next_offset: u64,
 }
 
@@ -51,6 +54,8 @@
     pub stream: Stream,
     /// Its missing records.
     pub records: Records,
+    /// Whether these are all records, as the requester lacks those of an era.
+    pub is_whole_state: bool,
 }
 
 /// Response to [`Relay::records`].
@@ -239,18 +244,23 @@
 ) -> RecordsResponse {
     let view = gateway.view();
     let mut streams = Vec::new();
-    for StreamPosition {
-        stream,
-        next_offset,
-    } in positions
-    {
-        if view.next_offset(*stream) > *next_offset {
-            let records = view.records_from(*stream, *next_offset);
-            streams.push(StreamRecords {
-                stream: *stream,
-                records,
-            });
+    for position in positions {
+        let copy = view.copy(position.stream);
+        let is_whole_state = copy.era > position.told_era;
+        let has_more = copy.era == position.told_era && copy.next_offset > position.next_offset;
+        if !is_whole_state && !has_more {
+            continue;
         }
+        let records = if is_whole_state {
+            copy.all_records()
+        } else {
+            copy.records_from(position.next_offset)
+        };
+        streams.push(StreamRecords {
+            stream: position.stream,
+            records,
+            is_whole_state,
+        });
     }
     drop(view);
     let now_ms = gateway.now_ms();
@@ -370,8 +380,13 @@
         // The records may make this instance ready, so the suspects and limits come first.
         gateway.merge_suspects(&response.suspects, &source);
         gateway.merge_limits(&response.limits, &source);
-        for StreamRecords { stream, records } in response.streams {
-            gateway.apply_records(stream, records, true, &source);
+        for told in response.streams {
+            let extent = if told.is_whole_state {
+                Extent::PeerState
+            } else {
+                Extent::Following
+            };
+            gateway.apply_records(told.stream, told.records, extent, &source);
         }
         self.suspects_position = response.suspects_position;
         self.limits_position = response.limits_position;
@@ -483,6 +498,7 @@
     for stream in STREAMS {
         positions.push(StreamPosition {
             stream,
+            told_era: view.copy(stream).told_era,
             next_offset: view.next_offset(stream),
         });
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,7 @@
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
-use super::{follower, limit_exchange, reader_role, relay, suspect_records};
+use super::{follower, limit_exchange, lost_records, reader_role, relay, suspect_records};
 use crate::process::run::RunError;
 
 /// Time for which a stopping instance still accepts connections: the balancer
@@ -95,6 +95,7 @@
     tokio::spawn(follower::register_instance(Arc::clone(gateway)));
     tokio::spawn(suspect_records::keep_stored(Arc::clone(gateway)));
     tokio::spawn(limit_exchange::run(Arc::clone(gateway)));
+    tokio::spawn(lost_records::rewrite(Arc::clone(gateway)));
     tokio::spawn(remove_expired(Arc::clone(gateway)));
 }
 
--- a/src/gateway/send_permit.rs
+++ b/src/gateway/send_permit.rs
@@ -292,7 +292,7 @@
             .map(|address| contacts.lost_for_ms(&address, now_ms))
             .min();
         let equal_share = |instances| 1.0 / f64::from(u32::try_from(instances).unwrap_or(u32::MAX));
-        let share = if reader_role::is_settling(self) {
+        let share = if !reader_role::knows_all_instances(self) {
             equal_share(ranked.len().max(MIN_ASSUMED_INSTANCES))
         } else if !contacts.is_in_majority(&others, now_ms) {
             equal_share(ranked.len())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use super::store::{Platform, Records, Stream};
 use super::suspects::SuspectState;
 use super::upstream_client::UpstreamClients;
-use super::view::{Event, View};
+use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
 use crate::decision::directory::Upstream;
@@ -104,6 +104,7 @@
     are_upstreams_loaded: AtomicBool,
     are_instances_loaded: AtomicBool,
     has_heard_from_peer: AtomicBool,
+    has_settled: AtomicBool,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -141,6 +142,7 @@
             are_upstreams_loaded: AtomicBool::new(false),
             are_instances_loaded: AtomicBool::new(false),
             has_heard_from_peer: AtomicBool::new(false),
+            has_settled: AtomicBool::new(false),
         })
     }
 
@@ -193,6 +195,18 @@
         self.has_heard_from_peer.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this instance has followed the store after the settle time of a first
+    /// start.
+    #[must_use]
+    pub fn has_settled(&self) -> bool {
+        self.has_settled.load(Ordering::Relaxed)
+    }
+
+    /// Records that this instance follows the store after the settle time.
+    pub fn set_settled(&self) {
+        self.has_settled.store(true, Ordering::Relaxed);
+    }
+
     /// Milliseconds since the process started; the clock of all decisions.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -210,29 +224,27 @@
         self.view().manifest.clone()
     }
 
-    /// Applies records of a stream to the view.
-    ///
-    /// Incremental records follow those already known; otherwise `records` holds
-    /// the newest record of every key. `source` names their origin in the log.
-    pub fn apply_records(
-        &self,
-        stream: Stream,
-        records: Records,
-        is_incremental: bool,
-        source: &str,
-    ) {
+    /// Applies records of a stream to the view. `source` names their origin in the log.
+    pub fn apply_records(&self, stream: Stream, records: Records, extent: Extent, source: &str) {
         let now_ms = self.now_ms();
         let may_lapse = self.lapse_window_left_ms() > 0;
         let offset = records.next_offset;
         let (events, has_advanced) = {
             let mut view = self.view();
-            let before = view.next_offset(stream);
-            let events = if is_incremental {
-                view.apply(&self.platform, stream, records, may_lapse, now_ms)
-            } else {
-                view.apply_snapshot(&self.platform, stream, records, may_lapse, now_ms)
+            let position = |view: &View| (view.copy(stream).era, view.next_offset(stream));
+            let before = position(&view);
+            let platform = &self.platform;
+            let events = match extent {
+                Extent::Following => view.apply(platform, stream, records, may_lapse, now_ms),
+                Extent::Newest => view.apply_snapshot(platform, stream, records, may_lapse, now_ms),
+                Extent::NewEra { from } => {
+                    view.apply_new_era(platform, stream, from, records, now_ms)
+                }
+                Extent::PeerState => {
+                    view.apply_peer_state(platform, stream, records, may_lapse, now_ms)
+                }
             };
-            (events, view.next_offset(stream) != before)
+            (events, position(&view) != before)
         };
         self.merge_stored_suspects(&events);
         match stream {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -28,6 +28,9 @@
 /// One record; a later record of the same key replaces it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyedRecord {
+    /// Era of the store in which it was written; 0 if that is not known, as in a
+    /// snapshot.
+    pub era: u64,
     /// Position in the stream.
     pub offset: u64,
     /// Name of the object that the record describes.
@@ -39,6 +42,10 @@
 /// The records that one read of a stream returns.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
+    /// Era of the store, from 1 on. Each time that the store returns from an older copy
+    /// it rises by one: records at the end are lost, and their offsets are given out
+    /// again.
+    pub era: u64,
     /// Records in ascending order of offset.
     pub records: Vec<KeyedRecord>,
     /// Offset at which the next read starts.
--- a/src/gateway/suspect_records.rs
+++ b/src/gateway/suspect_records.rs
@@ -107,7 +107,7 @@
         for change in pending {
             let now = Instant::now();
             let since = *pending_since.entry(change.content).or_insert(now);
-            if now.duration_since(since) >= own_delay(&gateway, change.content) {
+            if now.duration_since(since) >= own_delay(&gateway, &hex(change.content)) {
                 write(&gateway, change).await;
             }
         }
@@ -146,8 +146,9 @@
     pending
 }
 
-/// Time for which this instance leaves a change to the readers of other data centres.
-fn own_delay<P: Platform>(gateway: &Gateway<P>, content: u64) -> Duration {
+/// Time for which this instance leaves a change to the readers of other data centres;
+/// `subject` ranks the data centres.
+pub fn own_delay<P: Platform>(gateway: &Gateway<P>, subject: &str) -> Duration {
     let home = &gateway.settings().data_centre;
     let mut data_centres = Vec::new();
     for instance in gateway.view().instances.values() {
@@ -156,7 +157,7 @@
         }
     }
     let names = data_centres.iter().map(|name| &**name);
-    let rank = rank(&hex(content), names, home);
+    let rank = rank(subject, names, home);
     TAKEOVER_TIME * u32::try_from(rank).unwrap_or(u32::MAX)
 }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -8,16 +8,35 @@
 use std::sync::Arc;
 
 use super::store::{KeyedRecord, OperatorRecord, Platform, RecordError, Records, Stream};
+use super::stream_copy::StreamCopy;
 use super::suspect_records::{StoredSuspect, content_of_key};
 use crate::decision::directory::{Change, Directory};
 use crate::decision::manifest::Manifest;
 
-/// Most tombstones of deleted keys that a stream keeps, so that other instances
-/// learn of the deletions.
-const MAX_TOMBSTONES: usize = 512;
 /// Prefix of the keys under which instances register their addresses.
 const INSTANCE_KEY_PREFIX: &str = "instance/";
 
+/// Time for which an upstream is kept whose entry the store has lost: several of its
+/// heartbeats.
+const LOST_GRACE_MS: u64 = 6_000;
+
+/// What a batch of records holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    /// Records that follow the known ones.
+    Following,
+    /// The newest record of every key in the store.
+    Newest,
+    /// All records in a new era of the store from an offset on, which
+    /// [`StreamCopy::history_start`] has given.
+    NewEra {
+        /// That offset.
+        from: u64,
+    },
+    /// The whole state of another instance.
+    PeerState,
+}
+
 /// A change to the view, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -60,13 +79,6 @@
     }
 }
 
-/// The records of one stream; a record without a value is a tombstone.
-#[derive(Clone, Debug, Default)]
-struct StreamCopy {
-    records: BTreeMap<Arc<str>, (u64, Option<Vec<u8>>)>,
-    next_offset: u64,
-}
-
 /// All streams as far as this instance has received them.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -92,30 +104,23 @@
         self.copy(stream).next_offset
     }
 
-    /// The newest record of each key from an offset on, tombstones included, for
-    /// another instance.
+    /// The copy of a stream's records.
     #[must_use]
-    pub fn records_from(&self, stream: Stream, from: u64) -> Records {
-        let copy = self.copy(stream);
-        let mut records = Vec::new();
-        for (key, (offset, value)) in &copy.records {
-            if *offset < from {
-                continue;
-            }
-            records.push(KeyedRecord {
-                offset: *offset,
-                key: Arc::clone(key),
-                value: value.clone(),
-            });
-        }
-        records.sort_by_key(|record| record.offset);
-        Records {
-            records,
-            next_offset: copy.next_offset,
+    pub fn copy(&self, stream: Stream) -> &StreamCopy {
+        match stream {
+            Stream::Operator => &self.operator_records,
+            Stream::Upstreams => &self.upstream_records,
+            Stream::Instances => &self.instance_records,
         }
     }
 
-    /// Applies records that follow the known ones; older ones are skipped.
+    /// Records that another instance has told the whole state of a stream in this era.
+    pub fn set_told_era(&mut self, stream: Stream, era: u64) {
+        self.copy_mut(stream).told_era = era;
+    }
+
+    /// Applies records that follow the known ones; older ones, and those of an era that
+    /// has ended, are skipped.
     ///
     /// `may_lapse` says that a deleted upstream may only have lapsed because the
     /// store was unreachable.
@@ -128,21 +133,34 @@
         now_ms: u64,
     ) -> Vec<Event> {
         let mut events = Vec::new();
-        let from = self.next_offset(stream);
+        let copy = self.copy(stream);
+        let from = copy.next_offset;
+        if copy.era > records.era {
+            return events;
+        }
         for record in records.records {
             if record.offset < from {
                 continue;
             }
+            let record = KeyedRecord {
+                era: records.era,
+                ..record
+            };
+            self.copy_mut(stream).remember(&record, now_ms);
             self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
         }
         let copy = self.copy_mut(stream);
+        copy.era = records.era;
         copy.next_offset = copy.next_offset.max(records.next_offset);
-        copy.prune_tombstones();
+        copy.prune(now_ms);
         events
     }
 
     /// Applies the newest record of every key; a known key that is missing counts
     /// as deleted.
+    ///
+    /// In a new era of the store, it counts as lost, as does one whose record is older
+    /// than the known one.
     pub fn apply_snapshot(
         &mut self,
         platform: &impl Platform,
@@ -151,31 +169,140 @@
         may_lapse: bool,
         now_ms: u64,
     ) -> Vec<Event> {
+        let is_first = self.copy(stream).era == 0;
+        let is_new_era = !is_first && newest.era > self.copy(stream).era;
         let present: BTreeSet<Arc<str>> = newest
             .records
             .iter()
             .map(|record| Arc::clone(&record.key))
             .collect();
-        let mut deleted_keys = Vec::new();
-        for (key, (offset, value)) in &self.copy(stream).records {
-            let may_be_newer = *offset >= newest.next_offset;
-            if value.is_some() && !present.contains(key) && !may_be_newer {
-                deleted_keys.push(Arc::clone(key));
+        let mut missing = Vec::new();
+        for (key, known) in self.copy(stream).iter() {
+            let may_be_newer = !is_new_era && known.offset >= newest.next_offset;
+            if known.value.is_some() && !present.contains(key) && !may_be_newer {
+                missing.push(Arc::clone(key));
             }
         }
         let mut events = Vec::new();
-        for key in deleted_keys {
+        if is_new_era {
+            let copy = self.copy_mut(stream);
+            let mut lost = missing;
+            for record in &newest.records {
+                let known = copy.get(&record.key);
+                if known.is_some_and(|known| known.offset > record.offset) {
+                    lost.push(Arc::clone(&record.key));
+                }
+            }
+            copy.begin_era(newest.era, 0, lost);
+            self.lapse_lost(stream, now_ms, &mut events);
+            for record in newest.records {
+                let known = self.copy(stream).get(&record.key);
+                let is_stale = known.is_some_and(|known| known.offset >= record.offset);
+                if !is_stale {
+                    let record = KeyedRecord {
+                        era: newest.era,
+                        ..record
+                    };
+                    self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+                }
+            }
+            self.copy_mut(stream).next_offset = newest.next_offset;
+            return events;
+        }
+        for key in missing {
+            if self.copy(stream).is_lost(&key) {
+                continue;
+            }
             let record = KeyedRecord {
+                era: newest.era,
                 offset: newest.next_offset.saturating_sub(1),
                 key,
                 value: None,
             };
             self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
         }
+        if is_first {
+            let copy = self.copy_mut(stream);
+            copy.era = newest.era;
+            copy.next_offset = newest.next_offset;
+            for record in newest.records {
+                self.copy_mut(stream).remember(&record, now_ms);
+                self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+            }
+            return events;
+        }
         events.extend(self.apply(platform, stream, newest, may_lapse, now_ms));
         events
     }
 
+    /// Applies the records from `from`, which [`StreamCopy::history_start`] has given, on,
+    /// after the store has returned from a copy.
+    ///
+    /// Records up to the first difference are known. Known records beyond it are lost:
+    /// they stay in force until they are written again. All records from it on are new.
+    pub fn apply_new_era(
+        &mut self,
+        platform: &impl Platform,
+        stream: Stream,
+        from: u64,
+        records: Records,
+        now_ms: u64,
+    ) -> Vec<Event> {
+        let mut events = Vec::new();
+        let copy = self.copy_mut(stream);
+        let common_end = copy.common_end(from, &records.records);
+        let mut lost = Vec::new();
+        for (key, known) in copy.iter() {
+            if known.offset >= common_end {
+                lost.push(Arc::clone(key));
+            }
+        }
+        copy.begin_era(records.era, common_end, lost);
+        self.lapse_lost(stream, now_ms, &mut events);
+        events.extend(self.apply(platform, stream, records, true, now_ms));
+        events
+    }
+
+    /// Applies the whole state of a stream as another instance knows it.
+    ///
+    /// Records that are newer here stay, and so do keys that the other one lacks.
+    pub fn apply_peer_state(
+        &mut self,
+        platform: &impl Platform,
+        stream: Stream,
+        state: Records,
+        may_lapse: bool,
+        now_ms: u64,
+    ) -> Vec<Event> {
+        let mut events = Vec::new();
+        for record in state.records {
+            self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+        }
+        let copy = self.copy_mut(stream);
+        copy.told_era = state.era;
+        if state.era > copy.era {
+            copy.begin_era(state.era, state.next_offset, Vec::new());
+        } else if state.era == copy.era {
+            copy.next_offset = copy.next_offset.max(state.next_offset);
+        }
+        copy.prune(now_ms);
+        events
+    }
+
+    /// Keeps upstreams whose entries are lost until they have had the time to write them
+    /// again.
+    fn lapse_lost(&mut self, stream: Stream, now_ms: u64, events: &mut Vec<Event>) {
+        if stream != Stream::Upstreams {
+            return;
+        }
+        for key in self.upstream_records.lost_keys() {
+            let change = self.directory.lapse(&key, LOST_GRACE_MS, now_ms);
+            if change != Change::None {
+                events.push(Event::Upstream(key, change));
+            }
+        }
+    }
+
     fn apply_record(
         &mut self,
         platform: &impl Platform,
@@ -185,6 +312,9 @@
         now_ms: u64,
         events: &mut Vec<Event>,
     ) {
+        if !self.copy(stream).is_newer(&record) {
+            return;
+        }
         let value = record.value.as_deref();
         let applied = match stream {
             Stream::Operator => self.apply_operator_record(platform, &record.key, value),
@@ -198,9 +328,7 @@
             Ok(None) => {}
             Err(error) => events.push(Event::InvalidRecord(stream, Arc::clone(&record.key), error)),
         }
-        let copy = self.copy_mut(stream);
-        copy.records
-            .insert(record.key, (record.offset, record.value));
+        self.copy_mut(stream).insert(record);
     }
 
     fn apply_operator_record(
@@ -284,14 +412,6 @@
         };
     }
 
-    fn copy(&self, stream: Stream) -> &StreamCopy {
-        match stream {
-            Stream::Operator => &self.operator_records,
-            Stream::Upstreams => &self.upstream_records,
-            Stream::Instances => &self.instance_records,
-        }
-    }
-
     fn copy_mut(&mut self, stream: Stream) -> &mut StreamCopy {
         match stream {
             Stream::Operator => &mut self.operator_records,
@@ -301,24 +421,6 @@
     }
 }
 
-impl StreamCopy {
-    fn prune_tombstones(&mut self) {
-        let mut tombstones: Vec<(u64, Arc<str>)> = Vec::new();
-        for (key, (offset, value)) in &self.records {
-            if value.is_none() {
-                tombstones.push((*offset, Arc::clone(key)));
-            }
-        }
-        if tombstones.len() <= MAX_TOMBSTONES {
-            return;
-        }
-        tombstones.sort_unstable();
-        for (_, key) in tombstones.drain(..MAX_TOMBSTONES / 2) {
-            self.records.remove(&key);
-        }
-    }
-}
-
 /// Key under which an instance registers its address.
 #[must_use]
 pub fn instance_key(name: &str) -> String {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -25,6 +25,8 @@
 /// Timeout for a response of the store, in addition to the wait of a long poll.
 /// A response usually takes 4 ms, and 60 times as long while the store is slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Header with the number of times that the store has returned from an older copy.
+const ERA_HEADER: &str = "store-era";
 /// Size of the header of a read's response: the end offset and the first offset
 /// that the store still holds.
 const READ_HEADER_BYTES: usize = 16;
@@ -162,8 +164,14 @@
                 .map_err(|error| StoreError::InvalidResponse(error.to_string()))?;
             // The pages are not a consistent snapshot, so records after the end
             // of the first page are read again.
+            let era = era_of(&response)?;
             if after.is_none() {
                 newest.next_offset = page.end;
+                newest.era = era;
+            } else if newest.era != era {
+                return Err(StoreError::InvalidResponse(
+                    "the store returned from a copy between two pages".to_owned(),
+                ));
             }
             after = page.items.last().map(|item| Arc::clone(&item.key));
             for item in page.items {
@@ -186,7 +194,8 @@
         let response = self
             .call(Method::GET, target, Bytes::new(), response_timeout)
             .await?;
-        decode_read(response.body, from)
+        let era = era_of(&response)?;
+        decode_read(response.body, from, era)
     }
 
     async fn put_instance(&self, key: &str, value: Option<&[u8]>) -> Result<(), StoreError> {
@@ -233,14 +242,28 @@
         .decode(&item.value)
         .map_err(|error| StoreError::InvalidResponse(error.to_string()))?;
     Ok(KeyedRecord {
+        era: 0,
         offset: item.offset,
         key: item.key,
         value: Some(value),
     })
 }
 
+/// The era that a response names, counted from 1; a store without eras is in its first.
+fn era_of(response: &HttpResponse) -> Result<u64, StoreError> {
+    let Some(value) = response.headers.get(ERA_HEADER) else {
+        return Ok(1);
+    };
+    let era: Option<u64> = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    era.and_then(|era| era.checked_add(1))
+        .ok_or_else(|| StoreError::InvalidResponse("its era is not a number".to_owned()))
+}
+
 /// Decodes the response to a read: two offsets, then length-prefixed records.
-fn decode_read(mut body: Bytes, from: u64) -> Result<Records, StoreError> {
+fn decode_read(mut body: Bytes, from: u64, era: u64) -> Result<Records, StoreError> {
     if body.len() < READ_HEADER_BYTES {
         return Err(StoreError::InvalidResponse(
             "it is shorter than its header".to_owned(),
@@ -257,11 +280,12 @@
                 "its last record is truncated".to_owned(),
             ));
         }
-        let record = decode_record(next, &body.split_to(length));
+        let record = decode_record(era, next, &body.split_to(length));
         records.extend(record);
         next += 1;
     }
     Ok(Records {
+        era,
         records,
         next_offset: next,
     })
@@ -270,7 +294,7 @@
 /// Decodes a keyed record: key length, key, value.
 ///
 /// An unreadable record is skipped, as it names no key that it could change.
-fn decode_record(offset: u64, bytes: &[u8]) -> Option<KeyedRecord> {
+fn decode_record(era: u64, offset: u64, bytes: &[u8]) -> Option<KeyedRecord> {
     let (length, rest) = bytes.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*length))?;
     let Ok(key) = std::str::from_utf8(key) else {
@@ -278,6 +302,7 @@
         return None;
     };
     Some(KeyedRecord {
+        era,
         offset,
         key: key.into(),
         value: (!value.is_empty()).then(|| value.to_vec()),
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -14,7 +14,9 @@
 use chicorywing::gateway::store::{
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
-use chicorywing::gateway::{follower, limit_exchange, reader_role, relay, suspect_records};
+use chicorywing::gateway::{
+    follower, limit_exchange, lost_records, reader_role, relay, suspect_records,
+};
 use http::HeaderName;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -44,6 +46,8 @@
 struct Log {
     records: HashMap<Stream, Vec<KeyedRecord>>,
     first: HashMap<Stream, u64>,
+    /// Number of returns from a copy.
+    era: u64,
     calls: usize,
 }
 
@@ -80,6 +84,7 @@
         let records = log.records.entry(stream).or_default();
         let offset = u64::try_from(records.len()).unwrap();
         records.push(KeyedRecord {
+            era: 0,
             offset,
             key: key.into(),
             value: value.map(|text| text.as_bytes().to_vec()),
@@ -93,6 +98,20 @@
         log.first.insert(stream, end);
     }
 
+    /// Returns from a copy that lacks the newest records of a stream.
+    pub fn return_from_copy(&self, stream: Stream, lost: usize) {
+        let mut log = self.log();
+        log.era += 1;
+        let records = log.records.entry(stream).or_default();
+        let left = records.len() - lost;
+        records.truncate(left);
+    }
+
+    /// Number of records in a stream.
+    pub fn record_count(&self, stream: Stream) -> usize {
+        self.log().records.get(&stream).map_or(0, Vec::len)
+    }
+
     /// Number of records whose key begins with `prefix`.
     pub fn count_records(&self, stream: Stream, prefix: &str) -> usize {
         let all = self.records_from(stream, 0).records;
@@ -115,6 +134,7 @@
         let next = u64::try_from(all.len()).unwrap();
         let records = all.into_iter().filter(|record| record.offset >= from);
         Records {
+            era: log.era + 1,
             records: records.collect(),
             next_offset: next.max(from),
         }
@@ -130,6 +150,7 @@
         records.retain(|record| record.value.is_some());
         records.sort_by_key(|record| record.offset);
         Records {
+            era: all.era,
             records,
             next_offset: all.next_offset,
         }
@@ -219,6 +240,9 @@
         {
             return Err(StoreError::Compacted);
         }
+        if from > u64::try_from(self.store.record_count(stream)).unwrap() {
+            return Err(StoreError::Compacted);
+        }
         let found = self.store.records_from(stream, from);
         if !found.records.is_empty() || wait.is_zero() {
             return Ok(found);
@@ -234,7 +258,7 @@
                         return Ok(found);
                     }
                     if woken.is_err() {
-                        return Ok(Records { records: Vec::new(), next_offset: from });
+                        return Ok(Records { era: found.era, records: Vec::new(), next_offset: from });
                     }
                 }
                 () = until_hanging(&mut mode) => {
@@ -430,6 +454,7 @@
     tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
     tokio::spawn(reader_role::run(Arc::clone(&gateway)));
     tokio::spawn(limit_exchange::run(Arc::clone(&gateway)));
+    tokio::spawn(lost_records::rewrite(Arc::clone(&gateway)));
     tokio::spawn(suspect_records::keep_stored(gateway));
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,4 +11,5 @@
 mod rate_limits;
 mod reader_role;
 mod server;
+mod store_copy;
 mod upstream;
--- a/tests/gateway/reader_role.rs
+++ b/tests/gateway/reader_role.rs
@@ -8,6 +8,7 @@
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
+use chicorywing::gateway::view::Extent;
 use chicorywing::gateway::{follower, reader_role, relay};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
@@ -184,10 +185,11 @@
     let known = instances[0]
         .gateway
         .view()
-        .records_from(Stream::Instances, 0);
+        .copy(Stream::Instances)
+        .all_records();
     isolated
         .gateway
-        .apply_records(Stream::Instances, known, true, "the test");
+        .apply_records(Stream::Instances, known, Extent::PeerState, "the test");
 
     store.write(Stream::Operator, "config", Some("2"));
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -376,3 +376,29 @@
         expect_that!(all.join("; "), contains_substring(expected));
     }
 }
+
+// Guards against a return of the store from a copy going unnoticed.
+#[gtest]
+#[tokio::test]
+async fn answers_carry_the_era_of_the_store() {
+    let body = read_body(&[keyed_record("a", "1")]);
+    let with_era = |era: &str| {
+        let status = format!("200 OK\r\nStore-Era: {era}");
+        http_response(&status, &body)
+    };
+    let answers = vec![
+        http_response("200 OK", &body),
+        with_era("0"),
+        with_era("3"),
+        with_era("three"),
+    ];
+    let (store, _) = fake_store(answers).await;
+
+    let mut eras = Vec::new();
+    for _ in 0..4 {
+        let read = store.read(Stream::Upstreams, 7, Duration::ZERO).await;
+        eras.push(read.map_or(0, |records| records.era));
+    }
+
+    expect_that!(eras, eq(&vec![1, 1, 4, 0]));
+}
--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -194,6 +194,24 @@
         self.store.put("keyed.op", "config", manifest.as_bytes());
     }
 
+    /// Writes what is in force again, as operators do after the store has lost records.
+    pub fn write_again(&self) {
+        if let Some(version) = self.versions().last() {
+            let manifest = manifest(*version).to_string();
+            self.store.put("keyed.op", "config", manifest.as_bytes());
+        }
+        let evacuations = self.evacuations().clone();
+        for data_centre in DATA_CENTRES {
+            let mut own = evacuations
+                .iter()
+                .filter(|one| one.data_centre == data_centre);
+            let is_out = own.any(|one| one.until_ms == u64::MAX);
+            let value: &[u8] = if is_out { b"{}" } else { b"" };
+            let key = format!("evacuate/{data_centre}");
+            self.store.put("keyed.op", &key, value);
+        }
+    }
+
     pub fn versions(&self) -> Vec<Version> {
         self.versions.lock().unwrap().clone()
     }
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -325,6 +325,11 @@
 
     async fn inject_store_fault(self, env: &Arc<TestEnv>) {
         let disturbance = env.begin_disturbance(None, false);
+        if self.kind == FaultKind::StoreCompacted && env.seed > 400 {
+            return_from_copy(env, 1 + self.variant % 40).await;
+            env.end_disturbance(disturbance);
+            return;
+        }
         match self.kind {
             FaultKind::StoreRefuses => env.store.set_mode(StoreMode::Refusing),
             FaultKind::StoreSlow => env
@@ -350,6 +355,20 @@
     }
 }
 
+/// Takes the store away for a moment; it returns without its newest records, and operators
+/// and upstreams write theirs again.
+async fn return_from_copy(env: &Arc<TestEnv>, lost: usize) {
+    env.store.set_mode(StoreMode::Refusing);
+    sleep(Duration::from_millis(400)).await;
+    env.store.return_from_copy(lost);
+    env.store.set_mode(StoreMode::Healthy);
+    for running in env.upstreams.lock().await.iter().flatten() {
+        running.upstream.publish_entry(env);
+        sleep(Duration::from_millis(30)).await;
+    }
+    env.write_again();
+}
+
 /// Deletes the entries of all running upstreams and returns these upstreams.
 async fn lapse_entries(env: &Arc<TestEnv>) -> Vec<Arc<crate::upstream::Upstream>> {
     let mut lapsed = Vec::new();
--- a/tests/soak/limits.rs
+++ b/tests/soak/limits.rs
@@ -24,6 +24,8 @@
 const USED_AFTER_MS: u64 = 2_000;
 /// Share of what a limit allows that must be used.
 const MIN_USED_SHARE: f64 = 0.8;
+/// Time after which gateways that start together know each other.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Length of a play.
 const PLAY_TIME: Duration = Duration::from_secs(22);
 /// Reason that a gateway gives to requests that fit nowhere.
@@ -46,6 +48,8 @@
     GatewaysRestartedInTurn,
     GatewaysFrozen,
     StoreAway,
+    /// The store goes away before the gateways know each other.
+    StoreAwayFromTheStart,
     TwoEntries,
     /// The limited upstream ends and returns.
     UpstreamRestarts,
@@ -89,14 +93,17 @@
 
 /// Plays limits for [`PLAY_TIME`], and what happens meanwhile.
 pub async fn play(env: &Arc<TestEnv>, play: Play) {
+    if play != Play::StoreAwayFromTheStart {
+        sleep(SETTLE_TIME).await;
+    }
+    if matches!(play, Play::StoreAway | Play::StoreAwayFromTheStart) {
+        env.store.set_mode(StoreMode::Refusing);
+    }
     for position in 0..env.size.upstreams() {
         if let Some(limit) = play.limit(position) {
             name(env, position, Some(limit)).await;
         }
     }
-    if play == Play::StoreAway {
-        env.store.set_mode(StoreMode::Refusing);
-    }
     let until_ms = env.now_ms() + u64::try_from(PLAY_TIME.as_millis()).unwrap();
     let mut round = 0;
     while env.now_ms() < until_ms {
@@ -126,6 +133,7 @@
                     (2 * round) % env.gateways.len(),
                     (2 * round + 1) % env.gateways.len(),
                 ];
+                let disturbances = frozen.map(|number| env.begin_disturbance(Some(number), false));
                 for number in frozen {
                     env.gateways[number].signal("-STOP").await;
                 }
@@ -134,6 +142,9 @@
                     env.gateways[number].signal("-CONT").await;
                 }
                 sleep(Duration::from_secs(2)).await;
+                for disturbance in disturbances {
+                    env.end_disturbance(disturbance);
+                }
             }
             Play::UpstreamRestarts => {
                 sleep(Duration::from_secs(4)).await;
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -46,6 +47,8 @@
 pub struct Store {
     topics: Mutex<BTreeMap<String, Topic>>,
     write_count: watch::Sender<u64>,
+    /// Number of returns from an older copy.
+    era: AtomicU64,
     mode: watch::Sender<StoreMode>,
 }
 
@@ -54,6 +57,7 @@
         let store = Arc::new(Self {
             topics: Mutex::default(),
             write_count: watch::Sender::new(0),
+            era: AtomicU64::new(0),
             mode: watch::Sender::new(StoreMode::Healthy),
         });
         let listener = TcpListener::bind(address).await.unwrap();
@@ -89,6 +93,17 @@
         }
     }
 
+    /// Returns from a copy that lacks the newest records of each topic.
+    pub fn return_from_copy(&self, lost: usize) {
+        for topic in self.topics().values_mut() {
+            let left = topic.records.len().saturating_sub(lost);
+            topic.records.truncate(left);
+            topic.first_offset = topic.first_offset.min(topic.end_offset());
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.write_count.send_modify(|count| *count += 1);
+    }
+
     fn topics(&self) -> MutexGuard<'_, BTreeMap<String, Topic>> {
         self.topics.lock().unwrap()
     }
@@ -117,7 +132,7 @@
     fn read_from(&self, name: &str, from: u64) -> Option<(bool, Vec<u8>)> {
         let mut topics = self.topics();
         let topic = topics.entry(name.to_owned()).or_default();
-        if from < topic.first_offset {
+        if from < topic.first_offset || from > topic.end_offset() {
             return None;
         }
         let mut body = topic.end_offset().to_be_bytes().to_vec();
@@ -198,7 +213,8 @@
             std::future::pending::<()>().await;
         }
         let start_line = format!("HTTP/1.1 {status} Status");
-        if wire::write(&mut stream, &start_line, &[], &body)
+        let era = store.era.load(Ordering::Relaxed).to_string();
+        if wire::write(&mut stream, &start_line, &[("store-era", &era)], &body)
             .await
             .is_err()
         {
