Do not take back what has left from an instance that lags

The new test fails without that (the upstream is usable); it passes with it. Return times recover after a limit of 0: a schedule without any rate had moved to infinity (new test).

--- a/src/decision/return_schedule.rs
+++ b/src/decision/return_schedule.rs
@@ -8,6 +8,9 @@
 /// Shortest delay that a refused caller is given, in milliseconds.
 const MIN_WAIT_MS: f64 = 20.0;
 
+/// Longest time between two callers, in milliseconds; the rate may rise.
+const MAX_SPACING_MS: f64 = 10_000.0;
+
 /// A refusal for which a return time is needed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
@@ -52,7 +55,7 @@
             let wait = max_wait * (0.5 + 0.5 * refusal.random);
             return to_ms(wait.max(1.0));
         }
-        self.next_ms = at + 1_000.0 / per_s.max(f64::MIN_POSITIVE);
+        self.next_ms = at + (1_000.0 / per_s).min(MAX_SPACING_MS);
         to_ms(wait.max(MIN_WAIT_MS.min(max_wait)).max(1.0))
     }
 
--- a/src/gateway/stream_copy.rs
+++ b/src/gateway/stream_copy.rs
@@ -50,6 +50,8 @@
     pub next_offset: u64,
     /// Era in which another instance has told the whole state; 0 if none has.
     pub told_era: u64,
+    /// End of the stream at the newest snapshot of the store.
+    pub snapshot_end: u64,
     history: VecDeque<HistoryEntry>,
     lost: BTreeSet<Arc<str>>,
 }
@@ -73,6 +75,30 @@
         known.is_none_or(|known| (known.era, known.offset) < (record.era, record.offset))
     }
 
+    /// Whether a record of another instance's state is news: newer than the known one, or
+    /// of a key that this copy lacks because it never stood in what was read.
+    ///
+    /// What the store held at the end of the first read is known, so an older record of a
+    /// missing key belongs to one that has been deleted.
+    #[must_use]
+    pub fn is_news(&self, record: &KeyedRecord) -> bool {
+        if self.records.contains_key(&record.key) {
+            return self.is_newer(record);
+        }
+        let is_of_this_era = record.era == 0 || record.era == self.era;
+        !(is_of_this_era && record.offset < self.snapshot_end)
+    }
+
+    /// Takes over the era that another instance knows of the same record.
+    pub fn correct_era(&mut self, record: &KeyedRecord) {
+        if let Some(known) = self.records.get_mut(&record.key)
+            && known.offset == record.offset
+            && known.value == record.value
+        {
+            known.era = record.era;
+        }
+    }
+
     /// Makes a record the newest of its key.
     pub fn insert(&mut self, record: KeyedRecord) {
         self.lost.remove(&record.key);
@@ -165,7 +191,14 @@
     pub fn begin_era(&mut self, era: u64, next_offset: u64, lost: Vec<Arc<str>>) {
         self.era = era;
         self.next_offset = next_offset;
+        self.snapshot_end = next_offset;
         self.lost.extend(lost);
+        for (key, known) in &mut self.records {
+            if !self.lost.contains(key) {
+                // It stands at the same offset in this era, too.
+                known.era = 0;
+            }
+        }
         self.history.retain(|entry| entry.offset < next_offset);
     }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -206,7 +206,9 @@
                     self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
                 }
             }
-            self.copy_mut(stream).next_offset = newest.next_offset;
+            let copy = self.copy_mut(stream);
+            copy.next_offset = newest.next_offset;
+            copy.snapshot_end = newest.next_offset;
             return events;
         }
         for key in missing {
@@ -225,12 +227,14 @@
             let copy = self.copy_mut(stream);
             copy.era = newest.era;
             copy.next_offset = newest.next_offset;
+            copy.snapshot_end = newest.next_offset;
             for record in newest.records {
                 self.copy_mut(stream).remember(&record, now_ms);
                 self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
             }
             return events;
         }
+        self.copy_mut(stream).snapshot_end = newest.next_offset;
         events.extend(self.apply(platform, stream, newest, may_lapse, now_ms));
         events
     }
@@ -275,14 +279,24 @@
         now_ms: u64,
     ) -> Vec<Event> {
         let mut events = Vec::new();
+        let is_new_era = state.era > self.copy(stream).era;
+        if is_new_era {
+            let copy = self.copy_mut(stream);
+            for record in &state.records {
+                copy.correct_era(record);
+            }
+            copy.era = state.era;
+            copy.next_offset = state.next_offset;
+            copy.snapshot_end = 0;
+        }
         for record in state.records {
-            self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+            if self.copy(stream).is_news(&record) {
+                self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+            }
         }
         let copy = self.copy_mut(stream);
         copy.told_era = state.era;
-        if state.era > copy.era {
-            copy.begin_era(state.era, state.next_offset, Vec::new());
-        } else if state.era == copy.era {
+        if state.era == copy.era {
             copy.next_offset = copy.next_offset.max(state.next_offset);
         }
         copy.prune(now_ms);
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -295,3 +295,25 @@
     expect_that!(is_usable(&gateway, "up-1"), eq(true));
     expect_that!(gateway.view().next_offset(Stream::Upstreams), eq(3));
 }
+
+// Guards against an instance that has started taking an upstream that had left from
+// another one that has not heard of it yet.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_starts_takes_nothing_back_from_one_that_lags() {
+    let store = FakeStore::new();
+    let lagging = loaded_gateway(&store).await;
+    let state = lagging.view().copy(Stream::Upstreams).all_records();
+    store.write(Stream::Upstreams, "up-2", None);
+    let started = gateway(&store);
+    tokio::spawn(follower::follow(Arc::clone(&started), Stream::Upstreams));
+    within(BOUND, "the others are read", || {
+        ready_upstreams(&started) == 2
+    })
+    .await;
+
+    started.apply_records(Stream::Upstreams, state, Extent::PeerState, "the test");
+
+    expect_that!(is_usable(&started, "up-2"), eq(false));
+    expect_that!(ready_upstreams(&started), eq(2));
+}
--- a/tests/send_permits.rs
+++ b/tests/send_permits.rs
@@ -250,6 +250,19 @@
     expect_that!(schedule.wait_ms(refusal(500), 1_000), eq(100));
 }
 
+// Guards against a limit of 0 that ends all return times for good.
+#[gtest]
+fn callers_are_asked_back_soon_again_once_a_limit_of_zero_is_lifted() {
+    let mut schedule = ReturnSchedule::default();
+    let nothing = Refusal {
+        equal_share_per_s: 0.0,
+        ..refusal(500)
+    };
+    schedule.wait_ms(nothing, 0);
+
+    expect_that!(schedule.wait_ms(refusal(500), 20_000), eq(100));
+}
+
 fn addresses(count: u16) -> Vec<SocketAddr> {
     (1..=count)
         .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
