Give no caller a late second copy of another answer

An upstream that sends an answer twice, the second copy late on a connection that is in use again, could have its copy taken for the next answer in three cases: the copy has no id (exchange took a response without one for the right one), the caller's request has none (any response matched), or the call runs on the product's own interface (its client pairs answers by order). Now a response without an id is refused on a connection whose server has sent ids before; a request without an id gets a connection of its own, used once; and an answer that names another call is unknown, and its connection closed.

Tests: the first and the third failed on the code before (wrong body as the result), the second counts the connections. Ruled out: copies with an id were skipped already (a_response_to_an_earlier_request_is_skipped), idle connections with unread bytes are not reused.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -93,6 +93,17 @@
     buffer: BytesMut,
     is_reusable: bool,
     usable_until: Instant,
+    /// Whether a response has carried its request's id, so that one without an id belongs
+    /// to none.
+    server_sends_ids: bool,
+}
+
+/// The id by which a response is known to belong to its request.
+struct ExpectedId<'r> {
+    name: &'r HeaderName,
+    value: &'r HeaderValue,
+    /// Whether a response without an id cannot be the right one.
+    is_required: bool,
 }
 
 /// Reads one response: its connection's reading half, the bytes that were received and
@@ -125,6 +136,7 @@
             buffer: BytesMut::new(),
             is_reusable: true,
             usable_until: Instant::now() + DEFAULT_IDLE_TIMEOUT,
+            server_sends_ids: false,
         })
     }
 
@@ -185,7 +197,12 @@
             buffer: &mut self.buffer,
             reservation: ResponseReservation::new(memory),
         };
-        let read = response_reader.read_matching(&request.method, expected_id);
+        let expected = expected_id.map(|(name, value)| ExpectedId {
+            name,
+            value,
+            is_required: self.server_sends_ids,
+        });
+        let read = response_reader.read_matching(&request.method, expected);
         tokio::pin!(write);
         tokio::pin!(read);
         let mut is_written = false;
@@ -201,6 +218,8 @@
         // The server would read the next request as the rest of a body that is partly sent.
         self.is_reusable = is_keep_alive && is_written;
         self.usable_until = Instant::now() + idle_timeout(&response.headers);
+        self.server_sends_ids |=
+            expected_id.is_some_and(|(name, _)| response.headers.contains_key(name));
         Ok(response)
     }
 }
@@ -337,7 +356,7 @@
     async fn read_matching(
         mut self,
         method: &Method,
-        expected_id: Option<(&HeaderName, &HeaderValue)>,
+        expected: Option<ExpectedId<'_>>,
     ) -> Result<(HttpResponse, bool), ExchangeError> {
         let mut stray_responses = 0;
         let mut interim_responses = 0;
@@ -350,10 +369,16 @@
                 }
                 continue;
             }
-            let is_stray = expected_id.is_some_and(|(name, value)| {
-                let found = response.headers.get(name);
-                found.is_some_and(|found| found != value)
-            });
+            let mut is_stray = false;
+            if let Some(expected) = &expected {
+                match response.headers.get(expected.name) {
+                    Some(found) => is_stray = found != expected.value,
+                    None if expected.is_required => {
+                        return Err(ExchangeError::InvalidResponse("it carries no request id"));
+                    }
+                    None => {}
+                }
+            }
             if !is_stray {
                 let is_keep_alive = framing != Framing::UntilClose
                     && stray_responses == 0
--- a/src/connection/upstream.rs
+++ b/src/connection/upstream.rs
@@ -79,8 +79,9 @@
         let client = self.client(address);
         let until = limits.deadline.min(limits.run_deadline);
         let request = build_request(&client, address, attempt.call(), context, until);
+        let call_id = Arc::clone(&attempt.call().id);
         let sent = attempt.mark_sent();
-        let exchange = exchange(request, name, limits.body_limit_bytes);
+        let exchange = exchange(request, name, &call_id, limits.body_limit_bytes);
         let failure = match timeout_at(until, exchange).await {
             Ok(Ok(Exchange::Answer(answer, signal))) => {
                 let end = AttemptEnd::Done(sent.complete(answer));
@@ -99,7 +100,7 @@
                 AttemptEnd::NotStarted(sent.into_unsent()),
             );
         }
-        if failure == Failure::RunTimeout {
+        if matches!(failure, Failure::RunTimeout | Failure::OtherCall) {
             self.discard_client(address);
         }
         let end = match sent.fail(failure.reason()) {
@@ -156,6 +157,7 @@
     ConnectFailed,
     ConnectionReset,
     InvalidBody,
+    OtherCall,
     TooLarge,
     RunTimeout,
     CallerDeadline,
@@ -165,7 +167,7 @@
     fn reason(self) -> UnknownReason {
         match self {
             Self::ConnectFailed | Self::ConnectionReset => UnknownReason::UpstreamCut,
-            Self::InvalidBody => UnknownReason::AnswerBroken,
+            Self::InvalidBody | Self::OtherCall => UnknownReason::AnswerBroken,
             Self::TooLarge => UnknownReason::AnswerTooLarge,
             Self::RunTimeout | Self::CallerDeadline => UnknownReason::UpstreamSilent,
         }
@@ -175,7 +177,7 @@
         match self {
             Self::ConnectFailed => Signal::ConnectFailed,
             Self::ConnectionReset => Signal::Reset,
-            Self::InvalidBody => Signal::ServerError,
+            Self::InvalidBody | Self::OtherCall => Signal::ServerError,
             Self::TooLarge => Signal::Answered,
             Self::RunTimeout => Signal::TimedOut,
             Self::CallerDeadline => Signal::Cancelled,
@@ -219,6 +221,7 @@
 async fn exchange(
     request: reqwest::RequestBuilder,
     name: &Arc<str>,
+    call_id: &str,
     body_limit_bytes: usize,
 ) -> Result<Exchange, Failure> {
     let mut response = request.send().await.map_err(|error| {
@@ -228,6 +231,11 @@
             Failure::ConnectionReset
         }
     })?;
+    // A second copy of an earlier answer, late on a connection that is in use again.
+    let answered = response.headers().get(headers::CALL_ID);
+    if answered.is_some_and(|answered| answered.as_bytes() != call_id.as_bytes()) {
+        return Err(Failure::OtherCall);
+    }
     if response.headers().contains_key(headers::NOT_STARTED) {
         return Ok(Exchange::NotStarted);
     }
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -89,9 +89,14 @@
         client: &client,
         is_finished: false,
     };
-    let connection = client
-        .reuse_or_open(chosen.connection, &gateway.metrics)
-        .await;
+    let connection = if call.id.is_some() {
+        client
+            .reuse_or_open(chosen.connection, &gateway.metrics)
+            .await
+    } else {
+        // A late copy of another answer could not be told from the right one.
+        client.open(&gateway.metrics).await
+    };
     let mut connection = match connection {
         Ok(connection) => connection,
         Err(error) => {
@@ -127,7 +132,9 @@
             note_limit(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response);
-            client.release(connection);
+            if call.id.is_some() {
+                client.release(connection);
+            }
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
             sent
         }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -304,3 +304,35 @@
 
     expect_that!(ended.await.is_ok(), eq(true));
 }
+
+// Guards against a second copy of an answer, without an id, being taken for the answer to
+// the next request on the connection.
+#[gtest]
+#[tokio::test]
+async fn a_response_without_an_id_is_not_taken_from_a_server_that_sends_ids() {
+    let (address, _) = server(vec![
+        ServerAction::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 5\r\n\r\nfirst"),
+        ServerAction::Write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst"),
+    ])
+    .await;
+    let mut connection = open(address).await;
+    let first = get(&mut connection, "1").await.unwrap();
+    expect_that!(&first.body[..], eq(b"first"));
+
+    let second = get(&mut connection, "2").await;
+
+    expect_that!(second, err(anything()));
+    expect_that!(connection.is_usable(), eq(false));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_server_that_sends_no_ids_is_answered_in_order() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let (address, _) = server(vec![ServerAction::Write(answer); 2]).await;
+    let mut connection = open(address).await;
+
+    for id in ["1", "2"] {
+        expect_that!(get(&mut connection, id).await, ok(anything()));
+    }
+}
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -457,3 +457,22 @@
 
     expect_that!(body(&outcome), eq(b"good"));
 }
+
+// Guards against a second copy of an answer reaching a caller whose request has no id by
+// which it could be told apart.
+#[gtest]
+#[tokio::test]
+async fn a_request_without_an_id_shares_no_connection() {
+    let upstream = FakeUpstream::start("up-1", SERVE_AT_ONCE).await;
+    let gateway = gateway_to(&[&upstream], &route());
+    forward(&gateway, &call(&route())).await;
+    let mut without_id = call(&route());
+    without_id.id = None;
+    without_id.headers.clear();
+    let opened = gateway.metrics.connections_opened.get();
+
+    let outcome = forward(&gateway, &without_id).await;
+
+    expect_that!(body(&outcome), eq(b"good"));
+    expect_that!(gateway.metrics.connections_opened.get(), eq(opened + 1));
+}
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -165,3 +165,20 @@
     expect_that!(report.signal, eq(Signal::ConnectFailed));
     expect_that!(matches!(report.end, AttemptEnd::NotStarted(_)), eq(true));
 }
+
+// Guards against a second copy of an earlier answer, late on a connection that is in use
+// again, reaching the next caller.
+#[gtest]
+#[tokio::test]
+async fn an_answer_to_another_call_is_not_a_result() {
+    let (address, _) = serve(vec![
+        "HTTP/1.1 200 OK\r\nchicorywing-call-id: other\r\ncontent-length: 5\r\n\r\nwrong",
+    ])
+    .await;
+
+    let report = run(&UpstreamClients::default(), address, false).await;
+
+    expect_that!(report.signal, eq(Signal::ServerError));
+    let is_unknown = matches!(report.end, AttemptEnd::Done(Outcome::Unknown { .. }));
+    expect_that!(is_unknown, eq(true));
+}
