Serve connections that wait to be accepted at a planned stop

Callers whose connection had just been accepted by the kernel were reset without an answer: on a stop the loop that accepts chose at random between the next connection and the end, and the listener closed with its backlog; a connection accepted at that moment was closed before its first request was read. Now the backlog is accepted for up to 0.1 s, a new connection has 0.25 s for its first request, and the process does not count connections before that.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::server::{CallerCounts, serve_callers, serve_metrics, serve_ready};
+use super::server::{CallerCounts, MAX_BACKLOG_TIME, serve_callers, serve_metrics, serve_ready};
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
@@ -184,6 +184,8 @@
     sleep(ACCEPT_AFTER_STOP.min(limit / 2)).await;
     close.send_replace(true);
     let finish = async {
+        // Connections that are still to be accepted do not count yet.
+        sleep(MAX_BACKLOG_TIME).await;
         let mut idle_since = Instant::now();
         while callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME {
             sleep(DRAIN_POLL_INTERVAL).await;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::calls::{self, id_text, to_ms};
 use super::forward::forward;
@@ -27,6 +27,15 @@
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time in which the first request of a connection must begin when connections close.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(250);
+/// Interval at which it is looked for.
+const FIRST_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Wait for one more connection when the listener closes.
+const BACKLOG_WAIT: Duration = Duration::from_millis(5);
+/// Time after which the listener closes even if connections keep coming; the balancer has
+/// stopped sending new ones by then.
+pub const MAX_BACKLOG_TIME: Duration = Duration::from_millis(100);
 /// Limit on the head of a request before a version sets one, in bytes.
 const DEFAULT_MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Smallest read buffer that hyper accepts, in bytes.
@@ -98,6 +107,7 @@
     ) -> Self {
         callers.requests.fetch_add(1, Ordering::Relaxed);
         activity.requests.fetch_add(1, Ordering::Relaxed);
+        activity.has_begun.store(true, Ordering::Relaxed);
         gateway.metrics.in_flight.inc();
         Self {
             callers,
@@ -122,6 +132,7 @@
     opened: Instant,
     last_used_ms: AtomicU64,
     requests: AtomicUsize,
+    has_begun: AtomicBool,
 }
 
 impl ConnectionActivity {
@@ -130,6 +141,7 @@
             opened: Instant::now(),
             last_used_ms: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
+            has_begun: AtomicBool::new(false),
         }
     }
 
@@ -138,6 +150,14 @@
         self.last_used_ms.store(last_used_ms, Ordering::Relaxed);
     }
 
+    /// Waits for the first request of a new connection, whose caller sends it right away.
+    async fn first_request(&self) {
+        let until = Instant::now() + FIRST_REQUEST_WAIT;
+        while !self.has_begun.load(Ordering::Relaxed) && Instant::now() < until {
+            sleep(FIRST_REQUEST_POLL_INTERVAL).await;
+        }
+    }
+
     /// `None` while a request is running.
     fn idle_since(&self) -> Option<Instant> {
         if self.requests.load(Ordering::Relaxed) > 0 {
@@ -150,8 +170,8 @@
 
 /// Serves callers until `close` turns true.
 ///
-/// The listener then closes, and each open connection ends after its current
-/// request.
+/// The connections that wait to be accepted are still served. The listener then closes,
+/// and each open connection ends after its current request.
 pub async fn serve_callers<P: Platform>(
     listener: TcpListener,
     gateway: Arc<Gateway<P>>,
@@ -161,21 +181,40 @@
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener) => accepted,
-            _ = close.wait_for(|is_closed| *is_closed) => return,
+            _ = close.wait_for(|is_closed| *is_closed) => break,
         };
         let Some(stream) = accepted else {
             continue;
         };
-        let connection = serve_caller(
-            stream,
-            Arc::clone(&gateway),
-            Arc::clone(&callers),
-            close.clone(),
-        );
-        tokio::spawn(connection);
+        spawn_caller(stream, &gateway, &callers, &close);
+    }
+    // The kernel has accepted these connections already, and would reset them.
+    let until = Instant::now() + MAX_BACKLOG_TIME;
+    while Instant::now() < until {
+        let Ok(accepted) = timeout(BACKLOG_WAIT, accept(&listener)).await else {
+            return;
+        };
+        if let Some(stream) = accepted {
+            spawn_caller(stream, &gateway, &callers, &close);
+        }
     }
 }
 
+fn spawn_caller<P: Platform>(
+    stream: TcpStream,
+    gateway: &Arc<Gateway<P>>,
+    callers: &Arc<CallerCounts>,
+    close: &watch::Receiver<bool>,
+) {
+    let connection = serve_caller(
+        stream,
+        Arc::clone(gateway),
+        Arc::clone(callers),
+        close.clone(),
+    );
+    tokio::spawn(connection);
+}
+
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => match stream.set_nodelay(true) {
@@ -229,7 +268,7 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            _ = close.wait_for(|is_closed| *is_closed), if !is_closing => {
+            () = closed_and_used(&mut close, &activity), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
@@ -237,6 +276,13 @@
     }
 }
 
+/// Waits until connections are to close, and this one has had the time for a request.
+async fn closed_and_used(close: &mut watch::Receiver<bool>, activity: &ConnectionActivity) {
+    // Without a sender, the process is ending.
+    let _ = close.wait_for(|is_closed| *is_closed).await;
+    activity.first_request().await;
+}
+
 /// Returns when to close a connection unless it serves a request before then.
 fn idle_deadline<P: Platform>(gateway: &Gateway<P>, activity: &ConnectionActivity) -> Instant {
     let idle_ms = gateway
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -283,3 +283,37 @@
     expect_that!(later, starts_with("HTTP/1.1 200"));
     expect_that!(upstream.runs().len(), eq(2));
 }
+
+// Guards against connections that the kernel has accepted being reset when the listener
+// closes during a planned stop.
+#[gtest]
+#[tokio::test]
+async fn connections_in_the_backlog_are_served_when_the_listener_closes() {
+    for _ in 0..20 {
+        let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::ZERO)).await;
+        let gateway = gateway(&FakeStore::new());
+        {
+            let mut view = gateway.view();
+            view.manifest = Some(Arc::new(manifest(1, &[route()])));
+            let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
+            view.directory.put(report, 0);
+        }
+        gateway.set_instances_loaded();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(GET.as_bytes()).await.unwrap();
+            streams.push(stream);
+        }
+        let (_close, closing) = watch::channel(true);
+
+        tokio::spawn(serve_callers(listener, gateway, Arc::default(), closing));
+
+        for mut stream in streams {
+            let response = read_response(&mut stream).await;
+            expect_that!(response, starts_with("HTTP/1.1 200 "));
+        }
+    }
+}
