--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,6 +14,7 @@
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
+use super::supervisor::keep_running;
 use super::{follower, limit_exchange, lost_records, reader_role, relay, suspect_records};
 use crate::process::run::RunError;
 
@@ -88,15 +89,29 @@
 fn start_background_tasks<P: Platform>(gateway: &Arc<Gateway<P>>) {
     reader_role::defer_to_seeds(gateway);
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
-        tokio::spawn(follower::follow(Arc::clone(gateway), stream));
+        spawn(gateway, "follow", move |gateway| {
+            follower::follow(gateway, stream)
+        });
     }
-    tokio::spawn(reader_role::run(Arc::clone(gateway)));
-    tokio::spawn(follower::check_long_polls(Arc::clone(gateway)));
-    tokio::spawn(follower::register_instance(Arc::clone(gateway)));
-    tokio::spawn(suspect_records::keep_stored(Arc::clone(gateway)));
-    tokio::spawn(limit_exchange::run(Arc::clone(gateway)));
-    tokio::spawn(lost_records::rewrite(Arc::clone(gateway)));
-    tokio::spawn(remove_expired(Arc::clone(gateway)));
+    spawn(gateway, "reader-role", reader_role::run);
+    spawn(gateway, "check-long-polls", follower::check_long_polls);
+    spawn(gateway, "register", follower::register_instance);
+    spawn(gateway, "stored-suspects", suspect_records::keep_stored);
+    spawn(gateway, "limits", limit_exchange::run);
+    spawn(gateway, "lost-records", lost_records::rewrite);
+    spawn(gateway, "expiry", remove_expired);
+}
+
+fn spawn<P, F>(
+    gateway: &Arc<Gateway<P>>,
+    name: &'static str,
+    task: impl Fn(Arc<Gateway<P>>) -> F + Send + 'static,
+) where
+    P: Platform,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let gateway = Arc::clone(gateway);
+    keep_running(name, move || task(Arc::clone(&gateway)));
 }
 
 /// Removes lapsed upstreams that did not come back, old suspicions and idle
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -57,6 +57,7 @@
     log: Mutex<Log>,
     mode: watch::Sender<Mode>,
     written: watch::Sender<u64>,
+    has_panicked: AtomicBool,
 }
 
 impl FakeStore {
@@ -65,6 +66,7 @@
             log: Mutex::default(),
             mode: watch::Sender::new(Mode::Healthy),
             written: watch::Sender::new(0),
+            has_panicked: AtomicBool::new(false),
         })
     }
 
@@ -285,7 +287,8 @@
         key.strip_prefix("out/").map(Arc::from)
     }
 
-    /// The value of a manifest is its version number.
+    /// The value of a manifest is its version number; the first one that is `panic` makes
+    /// the decoder panic.
     fn parse_operator_record(
         &self,
         key: &str,
@@ -295,6 +298,11 @@
             return Ok(Some(OperatorRecord::Evacuate(name)));
         }
         let text = std::str::from_utf8(value).map_err(|error| RecordError(error.to_string()))?;
+        let has_panicked = &self.store.has_panicked;
+        assert!(
+            text != "panic" || has_panicked.swap(true, Ordering::Relaxed),
+            "the test asked for it"
+        );
         let version = text
             .parse()
             .map_err(|_| RecordError(format!("{text} is not a version")))?;
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -9,6 +9,7 @@
 use chicorywing::gateway::relay;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
+use chicorywing::gateway::supervisor::keep_running;
 use googletest::prelude::*;
 use tokio::time::sleep;
 
@@ -320,3 +321,24 @@
     let is_out = || follower.eligible_upstreams("s").is_empty();
     within(CONFIG_BOUND, "the draining upstream is removed", is_out).await;
 }
+
+// Guards against one record whose decoding fails unexpectedly ending the reads of its
+// stream while the process goes on.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_followed_again_after_an_unexpected_error() {
+    let store = FakeStore::new();
+    store.write(Stream::Operator, "config", Some("1"));
+    let gateway = gateway(&store);
+    let followed = Arc::clone(&gateway);
+    keep_running("follow", move || {
+        follower::follow(Arc::clone(&followed), Stream::Operator)
+    });
+    within(CONFIG_BOUND, "version 1", || version(&gateway) == 1).await;
+
+    store.write(Stream::Operator, "other", Some("panic"));
+    sleep(Duration::from_secs(1)).await;
+    store.write(Stream::Operator, "config", Some("2"));
+
+    within(CONFIG_BOUND, "version 2", || version(&gateway) == 2).await;
+}
