--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -48,6 +48,8 @@
 /// Time after the first start of all instances until all know each other;
 /// before that they would not agree on the readers.
 const SETTLE_TIME_MS: u64 = 4_000;
+/// Age at which an instance relies on those it knows even if the store is away.
+const UNSETTLED_TIMEOUT_MS: u64 = 10_000;
 
 /// Leaves reading the store to the seeds when all instances start for the first
 /// time; must be called before the followers start.
@@ -82,11 +84,13 @@
 ///
 /// After the first start of all, it does once it follows the store at the end of the
 /// settle time; if the store is away then, some may be registered that it does not know.
+/// By 10 s they have told each other of all that any of them knows.
 pub fn knows_all_instances<P: Platform>(gateway: &Gateway<P>) -> bool {
     if !gateway.settings().is_first_start || gateway.has_settled() {
         return true;
     }
-    if !is_settling(gateway) && gateway.is_active_reader() {
+    let follows_store = !is_settling(gateway) && gateway.is_active_reader();
+    if follows_store || gateway.now_ms() >= UNSETTLED_TIMEOUT_MS {
         gateway.set_settled();
     }
     gateway.has_settled()
--- a/tests/soak/limits.rs
+++ b/tests/soak/limits.rs
@@ -201,15 +201,6 @@
                 .filter(|at_ms| *at_ms >= from_ms && **at_ms < from_ms + WINDOW_MS)
                 .count()
         });
-    if std::env::var("SOAK_TRACE").is_ok() {
-        let base = named.first_told_ms.unwrap_or(0);
-        let all: Vec<(i64, bool)> = arrivals
-            .iter()
-            .filter(|a| a.upstream == named.upstream)
-            .map(|a| (a.at_ms.cast_signed() - base.cast_signed(), a.is_probe))
-            .collect();
-        println!("{} {per_s}: {all:?}", named.upstream);
-    }
     let used_from_ms = named.first_told_ms? + USED_AFTER_MS;
     let runs = own
         .filter(|arrival| !arrival.is_probe && arrival.at_ms >= used_from_ms)
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,7 +7,8 @@
 //!
 //! `SOAK_SEEDS=1-50 SOAK_SECONDS=30 cargo test --test soak -- --nocapture`;
 //! `SOAK_GATEWAYS` and `SOAK_CALLERS` set the size, `SOAK_AT_ONCE` the number of
-//! seeds that run in parallel. The logs of failed seeds are kept.
+//! seeds that run in parallel. The logs of failed seeds are kept, and those of all with
+//! `SOAK_KEEP_LOGS`.
 
 mod balancer;
 mod caller;
@@ -130,7 +131,7 @@
         violations.extend(crashing::check_play(&env, play));
     }
     violations.extend(env.stop_gateways().await);
-    env.keep_or_remove_logs(!violations.is_empty() || std::env::var("SOAK_TRACE").is_ok());
+    env.keep_or_remove_logs(!violations.is_empty() || std::env::var("SOAK_KEEP_LOGS").is_ok());
     violations
 }
 
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -116,6 +116,9 @@
     /// Stops at once: all connections close, and the entry in the store stays.
     pub async fn crash(self) {
         self.upstream.is_gone.store(true, Ordering::Relaxed);
+        if let Some(env) = self.upstream.env.upgrade() {
+            self.upstream.name_limit(&env, None);
+        }
         self.task.abort();
         // The port is free once the task has ended. The result only says that it was
         // aborted.
