Leave room among the connections that an upstream accepts

The idle ones of all now take half at most, one for each instance at least. Test: 3, 2, 1 and 1 at 13, 50, 140 and 1,000 instances; before, 3 at each. Ruled out: connections of requests in flight, which the upstream's slots and queue bound.

--- a/src/decision/manifest.rs
+++ b/src/decision/manifest.rs
@@ -19,6 +19,8 @@
 /// Properties of a service that apply to all its routes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceSpec {
+    /// Connections that each upstream accepts from all callers together, if it says.
+    pub max_connections: Option<u32>,
     /// Path at which upstreams report their load and health.
     pub health_path: Arc<str>,
     /// Requests per second that a cold upstream can serve, from the whole fleet.
--- a/src/decision/rate_limits.rs
+++ b/src/decision/rate_limits.rs
@@ -6,6 +6,7 @@
 //! answer holds, so no order of answers and reports ends a limit too early.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -320,6 +321,21 @@
         entry.is_some_and(|entry| entry.is_named_in_probes)
     }
 
+    /// A hash of the limits in force, which is the same for instances that know the same.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut digest = 0_u64;
+        for (upstream, entry) in &self.by_upstream {
+            let Some(per_s) = entry.per_s else {
+                continue;
+            };
+            let mut hasher = DefaultHasher::new();
+            (upstream, entry.started_at_ms, per_s.to_bits()).hash(&mut hasher);
+            digest = digest.wrapping_add(hasher.finish());
+        }
+        digest
+    }
+
     fn make_room(&mut self) {
         if self.by_upstream.len() < MAX_ENTRIES {
             return;
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -47,28 +47,40 @@
     let others = other_instances(gateway);
     let count = (others.len() / 4).clamp(*PEERS_PER_EXCHANGE.start(), *PEERS_PER_EXCHANGE.end());
     let sampled: Vec<SocketAddr> = others.sample(&mut rand::rng(), count).copied().collect();
-    let (reports, _) = gateway
-        .limits
-        .table()
-        .reports_after(0, MAX_REPORTS, gateway.now_ms());
-    let exchanges = sampled.into_iter().map(|address| {
-        let reports = reports.clone();
-        async move {
-            let call = |client: PeerClient| {
-                let reports = reports.clone();
-                async move { client.exchange_limits(reports).await }
-            };
-            let response = gateway.peers.call(address, EXCHANGE_TIMEOUT, call).await;
-            gateway.on_peer_call(address, response.is_ok());
-            match response {
-                Ok(reports) => {
-                    gateway.merge_limits(&reports, &address.to_string());
-                }
-                Err(error) => tracing::debug!(%address, %error, "failed to exchange limits"),
+    join_all(
+        sampled
+            .into_iter()
+            .map(|address| exchange_with(gateway, address)),
+    )
+    .await;
+}
+
+/// Compares limits with another instance, and tells it all if it knows something else.
+async fn exchange_with<P: Platform>(gateway: &Arc<Gateway<P>>, address: SocketAddr) {
+    let mut reports = Vec::new();
+    for _ in 0..2 {
+        let digest = gateway.limits.table().digest();
+        let call = |client: PeerClient| {
+            let reports = reports.clone();
+            async move { client.exchange_limits(reports, digest).await }
+        };
+        let response = gateway.peers.call(address, EXCHANGE_TIMEOUT, call).await;
+        gateway.on_peer_call(address, response.is_ok());
+        match response {
+            Ok(told) if told.is_empty() => return,
+            Ok(told) => gateway.merge_limits(&told, &address.to_string()),
+            Err(error) => {
+                tracing::debug!(%address, %error, "failed to exchange limits");
+                return;
             }
         }
-    });
-    join_all(exchanges).await;
+        let now_ms = gateway.now_ms();
+        reports = gateway
+            .limits
+            .table()
+            .reports_after(0, MAX_REPORTS, now_ms)
+            .0;
+    }
 }
 
 /// All other known instances; the seeds while there are none.
--- a/src/gateway/peer_push.rs
+++ b/src/gateway/peer_push.rs
@@ -66,9 +66,10 @@
         }
         News::Limit(upstream) => {
             let reports: Vec<_> = gateway.limit_report(upstream).into_iter().collect();
+            let digest = gateway.limits.table().digest();
             let call = |client: PeerClient| {
                 let reports = reports.clone();
-                async move { client.exchange_limits(reports).await }
+                async move { client.exchange_limits(reports, digest).await }
             };
             let known = gateway.peers.call(address, PUSH_TIMEOUT, call).await?;
             gateway.merge_limits(&known, &address.to_string());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -111,8 +111,9 @@
         report: Option<SuspectReport>,
     ) -> PermitResponse;
 
-    /// Tells this instance of limits of upstreams, and returns all that it knows.
-    async fn exchange_limits(reports: Vec<LimitReport>) -> Vec<LimitReport>;
+    /// Tells this instance of limits of upstreams, and returns all that it knows unless
+    /// the requester knows the same, as `digest` shows.
+    async fn exchange_limits(reports: Vec<LimitReport>, digest: u64) -> Vec<LimitReport>;
 
     /// Asks for a permit to send one request to a limited upstream.
     async fn acquire_send(ask: PermitAsk) -> PermitAnswer;
@@ -202,10 +203,14 @@
         self,
         _: context::Context,
         reports: Vec<LimitReport>,
+        digest: u64,
     ) -> Vec<LimitReport> {
         let gateway = &self.gateway;
         gateway.merge_limits(&reports, "another instance");
         let limits = gateway.limits.table();
+        if limits.digest() == digest {
+            return Vec::new();
+        }
         limits.reports_after(0, MAX_REPORTS, gateway.now_ms()).0
     }
 
@@ -420,15 +425,19 @@
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
-    /// Tells the peer of limits of upstreams, and returns all that it knows.
+    /// Tells the peer of limits of upstreams, and returns all that it knows unless
+    /// `digest` shows that it is the same.
     ///
     /// # Errors
     /// Returns an error if the call fails.
     pub async fn exchange_limits(
         &self,
         reports: Vec<LimitReport>,
+        digest: u64,
     ) -> Result<Vec<LimitReport>, RelayError> {
-        let request = self.client.exchange_limits(context::current(), reports);
+        let request = self
+            .client
+            .exchange_limits(context::current(), reports, digest);
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -126,7 +126,11 @@
         }
         gateway.suspects.table().expire(now_ms);
         let view = gateway.view();
-        gateway.upstream_clients.prune(&view.directory);
+        gateway.upstream_clients.prune(
+            &view.directory,
+            view.manifest.as_deref(),
+            view.instances.len(),
+        );
         gateway
             .limits
             .expire(now_ms, |id| view.directory.get(id).is_some());
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::decision::crash_suspects::UpstreamLifetime;
 use crate::decision::directory::{Directory, UpstreamReport};
 use crate::decision::ejection::{EjectionState, Evidence};
+use crate::decision::manifest::Manifest;
 use crate::decision::selection::{Load, Reading, USUAL_SPEED_PERCENT};
 
 /// Timeout for opening a connection; within a region only the loss of two packets
@@ -34,8 +35,11 @@
 const CLOSE_WAIT: Duration = Duration::from_millis(10);
 /// Memory for the response to a probe, which has no body of use.
 const PROBE_MEMORY_BYTES: usize = 64 * 1024;
-/// Idle connections kept per upstream.
+/// Idle connections kept per upstream, if its connections suffice for that.
 const MAX_IDLE_CONNECTIONS: usize = 3;
+/// Part of an upstream's connections that the idle ones of all instances may take: the
+/// rest is for requests in flight.
+const IDLE_DIVISOR: usize = 2;
 /// Cold time assumed if an upstream reports an invalid one; any above 0 makes it
 /// count as cold.
 const INVALID_COLD_LEFT_MS: u64 = 1;
@@ -95,6 +99,7 @@
     /// Start of its process, in Unix milliseconds; 0 if unknown.
     started_at_ms: u64,
     idle_connections: Mutex<Vec<Connection>>,
+    max_idle: AtomicUsize,
     ejection: Mutex<EjectionState>,
 }
 
@@ -105,6 +110,7 @@
             address: report.address,
             started_at_ms: report.started_at_ms,
             idle_connections: Mutex::default(),
+            max_idle: AtomicUsize::new(MAX_IDLE_CONNECTIONS),
             ejection: Mutex::default(),
         }
     }
@@ -187,14 +193,27 @@
             return;
         }
         let mut idle = self.lock_idle();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
+        if idle.len() < self.max_idle.load(Ordering::Relaxed) {
             idle.push(connection);
         }
     }
 
-    /// Closes idle connections that have expired or were closed by the upstream.
-    fn close_unusable(&self) {
-        self.lock_idle().retain(Connection::is_usable);
+    /// Closes idle connections that have expired or were closed by the upstream, and those
+    /// beyond this instance's part of the connections that the upstream accepts.
+    fn limit_idle(&self, max_connections: Option<u32>, instances: usize) {
+        let accepted = max_connections.and_then(|max| usize::try_from(max).ok());
+        let share = accepted.unwrap_or(usize::MAX) / IDLE_DIVISOR / instances.max(1);
+        let max_idle = share.clamp(1, MAX_IDLE_CONNECTIONS);
+        self.max_idle.store(max_idle, Ordering::Relaxed);
+        let mut idle = self.lock_idle();
+        idle.retain(Connection::is_usable);
+        idle.truncate(max_idle);
+    }
+
+    /// Number of idle connections.
+    #[must_use]
+    pub fn idle_connections(&self) -> usize {
+        self.lock_idle().len()
     }
 
     /// Returns the probe's connection, or a new one if the upstream closes it.
@@ -406,12 +425,17 @@
         client
     }
 
-    /// Drops the clients of upstreams that left, and idle connections that are no
-    /// longer usable.
-    pub fn prune(&self, directory: &Directory) {
+    /// Drops the clients of upstreams that left, and idle connections that are no longer
+    /// usable or more than this one of `instances` may keep.
+    pub fn prune(&self, directory: &Directory, manifest: Option<&Manifest>, instances: usize) {
         self.by_id().retain(|id, client| {
-            client.close_unusable();
-            directory.get(id).is_some()
+            let Some(upstream) = directory.get(id) else {
+                return false;
+            };
+            let service = &upstream.report.service;
+            let spec = manifest.and_then(|manifest| manifest.services.get(service));
+            client.limit_idle(spec.and_then(|spec| spec.max_connections), instances);
+            true
         });
     }
 
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -54,6 +54,8 @@
 #[serde(rename_all = "kebab-case")]
 struct ServiceRecord {
     health_path: Arc<str>,
+    /// Connections that a server accepts from all callers together.
+    max_conns: Option<u32>,
     /// Requests per second that a cold server can serve.
     #[serde(default)]
     warmup_per_s: f64,
@@ -104,6 +106,7 @@
     let mut services = HashMap::with_capacity(record.services.len());
     for (name, service) in record.services {
         let spec = ServiceSpec {
+            max_connections: service.max_conns,
             health_path: service.health_path,
             cold_per_s: service.warmup_per_s,
         };
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -476,3 +476,30 @@
     expect_that!(body(&outcome), eq(b"good"));
     expect_that!(gateway.metrics.connections_opened.get(), eq(opened + 1));
 }
+
+// Guards against the idle connections of a large fleet taking all that an upstream accepts.
+#[gtest]
+#[tokio::test]
+async fn idle_connections_leave_room_among_those_that_an_upstream_accepts() {
+    let upstream = FakeUpstream::start("up-1", SERVE_AT_ONCE).await;
+    let gateway = gateway_to(&[&upstream], &route());
+    let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
+    let client = gateway.upstream_clients.get(&report);
+    let mut kept = Vec::new();
+    for instances in [13, 50, 140, 1_000] {
+        {
+            let view = gateway.view();
+            let manifest = view.manifest.as_deref();
+            gateway
+                .upstream_clients
+                .prune(&view.directory, manifest, instances);
+        }
+        for _ in 0..4 {
+            client.release(client.open(&gateway.metrics).await.unwrap());
+        }
+        kept.push(client.idle_connections());
+    }
+
+    // Half of 220 connections; each instance needs one.
+    expect_that!(kept, eq(&vec![3, 2, 1, 1]));
+}
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -373,6 +373,7 @@
 
 pub fn manifest(version: u64, routes: &[Route]) -> Manifest {
     let spec = ServiceSpec {
+        max_connections: Some(220),
         health_path: "/health".into(),
         cold_per_s: 2.9,
     };
