Lift a limit only by the kind of answer that names it; bound calls to silent peers

An upstream whose health answers alone name a limit had it lifted by each answer to a request, and named again by the next probe (test failed before: no limit after the answer). Answers to probes and to requests now lift what their kind has named; a limit that only probes name is checked by a probe of its principal.

A call to another instance took twice its time if a kept connection was silent; the kept one now gets a third of it, the new one the rest.

--- a/src/decision/rate_limits.rs
+++ b/src/decision/rate_limits.rs
@@ -106,8 +106,10 @@
     pub lifetime: UpstreamLifetime,
     /// The limit in requests per second; `None` once it is lifted.
     pub per_s: Option<f64>,
-    /// Whether answers to probes name the limit, too.
+    /// Whether answers to probes have named a limit.
     pub is_named_in_probes: bool,
+    /// Whether answers to requests have named a limit.
+    pub is_named_in_answers: bool,
     /// Time since the limit was first named, in milliseconds.
     pub since_age_ms: u64,
     /// Time since the request was sent whose answer says so.
@@ -121,6 +123,7 @@
     started_at_ms: u64,
     per_s: Option<f64>,
     is_named_in_probes: bool,
+    is_named_in_answers: bool,
     since_ms: i64,
     sent_ms: i64,
     received_ms: i64,
@@ -174,7 +177,7 @@
             let is_known_to_be_limited = known.is_some_and(|entry| {
                 entry.per_s.is_some()
                     && !is_other_process(entry.started_at_ms, lifetime.started_at_ms)
-                    && (!statement.is_probe || entry.is_named_in_probes)
+                    && entry.is_named_in(statement.is_probe)
             });
             if !is_known_to_be_limited {
                 return LimitChange::None;
@@ -186,6 +189,7 @@
                 started_at_ms: lifetime.started_at_ms,
                 per_s,
                 is_named_in_probes: statement.is_probe && per_s.is_some(),
+                is_named_in_answers: !statement.is_probe && per_s.is_some(),
                 since_ms: to_i64(statement.received_ms),
                 sent_ms: to_i64(statement.sent_ms),
                 received_ms: to_i64(statement.received_ms),
@@ -207,6 +211,7 @@
                 started_at_ms: report.lifetime.started_at_ms,
                 per_s: report.per_s,
                 is_named_in_probes: report.is_named_in_probes,
+                is_named_in_answers: report.is_named_in_answers,
                 since_ms: at(report.since_age_ms),
                 sent_ms: at(report.sent_age_ms),
                 received_ms,
@@ -278,6 +283,7 @@
             },
             per_s: entry.per_s,
             is_named_in_probes: entry.is_named_in_probes,
+            is_named_in_answers: entry.is_named_in_answers,
             since_age_ms: age_ms(entry.since_ms),
             sent_age_ms: age_ms(entry.sent_ms),
             received_age_ms: age_ms(entry.received_ms),
@@ -356,9 +362,19 @@
 }
 
 impl Entry {
+    /// Whether answers of this kind name limits, so that one without a limit ends it.
+    fn is_named_in(&self, is_probe: bool) -> bool {
+        if is_probe {
+            self.is_named_in_probes
+        } else {
+            self.is_named_in_answers
+        }
+    }
+
     /// Applies what the same process said, before or after this.
     fn update(&mut self, new: &Self) {
         self.is_named_in_probes |= new.is_named_in_probes;
+        self.is_named_in_answers |= new.is_named_in_answers;
         if new.sent_ms >= self.received_ms {
             self.say(new);
             return;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,6 +10,9 @@
 use super::relay::{PeerClient, RelayError};
 use crate::decision::peer_contacts::PeerContacts;
 
+/// Part of the time that a call may take which a kept connection gets.
+const KEPT_DIVISOR: u32 = 3;
+
 /// Clients of other instances by address.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -23,11 +26,12 @@
         self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Calls another instance on a kept connection, and on a new one if that fails, since
-    /// a connection may have gone silent while its peer responds.
+    /// Calls another instance on a kept connection, and on a new one if that does not
+    /// respond in a third of the time, since a connection may have gone silent while its
+    /// peer responds. The call must have the same effect if it is made twice.
     ///
     /// # Errors
-    /// Returns an error if no call succeeds, each within `limit`.
+    /// Returns an error if no call succeeds within `limit`.
     pub async fn call<T, F>(
         &self,
         address: SocketAddr,
@@ -39,12 +43,13 @@
     {
         let kept = self.clients().get(&address).cloned();
         if let Some(client) = kept {
-            let response = timeout(limit, call(client)).await;
+            let response = timeout(limit / KEPT_DIVISOR, call(client)).await;
             if let Ok(Ok(response)) = response {
                 return Ok(response);
             }
             self.clients().remove(&address);
         }
+        let limit = limit.saturating_sub(limit / KEPT_DIVISOR);
         let fresh = async {
             let client = PeerClient::connect(address).await?;
             let response = call(client.clone()).await?;
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -114,6 +114,18 @@
     expect_that!(per_s(&limits), none());
 }
 
+// Guards against a limit that only probes name being lifted by each answer, and used in
+// full until the next probe.
+#[gtest]
+fn an_answer_lifts_a_limit_only_if_answers_have_named_it() {
+    let limits = after(&[probe(Some(1.0), 0, 100), answer(None, 200, 300)]);
+    expect_that!(per_s(&limits), some(eq(1.0)));
+
+    let named_in_both = [probe(Some(1.0), 0, 100), answer(Some(1.0), 150, 200)];
+    let limits = after(&[&named_in_both[..], &[answer(None, 200, 300)]].concat());
+    expect_that!(per_s(&limits), none());
+}
+
 #[gtest]
 fn a_new_process_of_an_upstream_has_no_limit_until_it_names_one() {
     let mut limits = after(&[answer(Some(1.0), 0, 100)]);
