Accept probes without an id on connections whose other responses have one

New test; the platform's page says that all responses echo the id, so none of ours had a health answer without one.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -180,6 +180,36 @@
         request: &HttpRequest,
         id_header: Option<&HeaderName>,
         memory: &Arc<ResponseMemory>,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let must_have_id = self.server_sends_ids;
+        let response = self
+            .exchange_matching(request, id_header, must_have_id, memory)
+            .await?;
+        self.server_sends_ids |= id_header.is_some_and(|name| response.headers.contains_key(name));
+        Ok(response)
+    }
+
+    /// Like [`Connection::exchange_within`], for probes: servers may send ids in their
+    /// other responses only.
+    ///
+    /// # Errors
+    /// As [`Connection::exchange_within`].
+    pub async fn probe_within(
+        &mut self,
+        request: &HttpRequest,
+        id_header: Option<&HeaderName>,
+        memory: &Arc<ResponseMemory>,
+    ) -> Result<HttpResponse, ExchangeError> {
+        self.exchange_matching(request, id_header, false, memory)
+            .await
+    }
+
+    async fn exchange_matching(
+        &mut self,
+        request: &HttpRequest,
+        id_header: Option<&HeaderName>,
+        must_have_id: bool,
+        memory: &Arc<ResponseMemory>,
     ) -> Result<HttpResponse, ExchangeError> {
         self.is_reusable = false;
         let bytes = encode(request);
@@ -200,7 +230,7 @@
         let expected = expected_id.map(|(name, value)| ExpectedId {
             name,
             value,
-            is_required: self.server_sends_ids,
+            is_required: must_have_id,
         });
         let read = response_reader.read_matching(&request.method, expected);
         tokio::pin!(write);
@@ -218,8 +248,6 @@
         // The server would read the next request as the rest of a body that is partly sent.
         self.is_reusable = is_keep_alive && is_written;
         self.usable_until = Instant::now() + idle_timeout(&response.headers);
-        self.server_sends_ids |=
-            expected_id.is_some_and(|(name, _)| response.headers.contains_key(name));
         Ok(response)
     }
 }
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -274,7 +274,7 @@
         if let Some(mut connection) = self.take_idle() {
             // The upstream may have dropped an idle connection; then all idle ones
             // are closed, and the probe is sent on a new one.
-            let exchange = connection.exchange_within(&request, id_header, &memory);
+            let exchange = connection.probe_within(&request, id_header, &memory);
             match exchange.await {
                 Ok(response) => return self.probe_response(names, connection, &response),
                 Err(ExchangeError::Disconnected(_)) => self.lock_idle().clear(),
@@ -283,7 +283,7 @@
         }
         let mut connection = self.open(metrics).await?;
         let response = connection
-            .exchange_within(&request, id_header, &memory)
+            .probe_within(&request, id_header, &memory)
             .await?;
         self.probe_response(names, connection, &response)
     }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use chicorywing::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
+use chicorywing::connection::response_memory::ResponseMemory;
 use googletest::prelude::*;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -336,3 +337,23 @@
         expect_that!(get(&mut connection, id).await, ok(anything()));
     }
 }
+
+// Guards against probes failing on connections whose other responses carry ids.
+#[gtest]
+#[tokio::test]
+async fn a_probe_is_answered_without_an_id() {
+    let (address, _) = server(vec![
+        ServerAction::Write("HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 0\r\n\r\n"),
+        ServerAction::Write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"),
+    ])
+    .await;
+    let mut connection = open(address).await;
+    get(&mut connection, "1").await.unwrap();
+    let memory = ResponseMemory::new(1_000);
+
+    let probe = request("probe-1", Method::GET, "");
+    let probed = connection.probe_within(&probe, Some(&ID), &memory).await;
+
+    expect_that!(probed, ok(anything()));
+    expect_that!(connection.is_usable(), eq(true));
+}
