--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -503,3 +503,28 @@
     // Half of 220 connections; each instance needs one.
     expect_that!(kept, eq(&vec![3, 2, 1, 1]));
 }
+
+// Guards against running work being given up, or started again elsewhere, because its
+// upstream was late with its reports and its entry is gone.
+#[gtest]
+#[tokio::test]
+async fn a_running_request_outlives_the_entry_of_its_upstream() {
+    let slow = FakeUpstream::start("slow", Behaviour::Serve(Duration::from_millis(300))).await;
+    let gateway = gateway_to(&[&slow], &route());
+    let other = FakeUpstream::start("other", SERVE_AT_ONCE).await;
+    let call = call(&route());
+    let running = forward(&gateway, &call);
+    let lapse = async {
+        within(TEST_TIMEOUT, "it runs", || slow.runs().len() == 1).await;
+        let other = report(&other.id, other.address, UpstreamState::Ready);
+        let mut view = gateway.view();
+        view.directory.put(other, 0);
+        view.directory.remove("slow", false, 0);
+    };
+
+    let (outcome, ()) = tokio::join!(running, lapse);
+
+    expect_that!(body(&outcome), eq(b"good"));
+    expect_that!(slow.runs().len(), eq(1));
+    expect_that!(other.runs(), is_empty());
+}
--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -43,6 +43,7 @@
 struct State {
     limits: Vec<String>,
     is_silent_in_probes: bool,
+    loses_answers: bool,
     first_named: Option<Instant>,
     arrivals: Vec<(Instant, bool)>,
 }
@@ -86,6 +87,11 @@
         self.state.lock().unwrap().is_silent_in_probes = true;
     }
 
+    /// Closes the connection instead of answering requests that it has run.
+    pub fn lose_answers(&self) {
+        self.state.lock().unwrap().loses_answers = true;
+    }
+
     /// Largest number of requests and probes in 4 s, from half a second after the limit
     /// was first named.
     pub fn most_arrivals(&self) -> usize {
@@ -130,6 +136,9 @@
                 sleep(WORK_TIME).await;
                 self.running.fetch_sub(1, Ordering::Relaxed);
             }
+            if !is_probe && self.state.lock().unwrap().loses_answers {
+                return;
+            }
             let limits = self.limit_lines(is_probe);
             let id = id_line(&head);
             let answer = format!(
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use chicorywing::decision::manifest::Route;
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
@@ -174,3 +175,38 @@
     expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(3.0)));
     expect_that!(served(&all), eq(all.len()));
 }
+
+// Guards against work being run again, or said not to have run, because the answer of a
+// limited upstream was lost.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_answer_a_limited_upstream_lost_is_not_sent_again() {
+    let fleet = LimitedFleet::start(2, 3).await;
+    let not_idempotent = Route {
+        is_idempotent: false,
+        ..route()
+    };
+    for upstream in &fleet.upstreams {
+        upstream.name_limits(&["5"]);
+    }
+    fleet
+        .send_steadily(&[0, 1], 40, SETTLE_TIME, &not_idempotent)
+        .await;
+    for upstream in &fleet.upstreams {
+        upstream.lose_answers();
+    }
+
+    let since = Instant::now();
+    let all = fleet
+        .send_steadily(&[0, 1], 40, SETTLE_TIME, &not_idempotent)
+        .await;
+
+    let runs: usize = fleet
+        .upstreams
+        .iter()
+        .map(|upstream| upstream.runs_since(since))
+        .sum();
+    let unknown = all.iter().filter(|ended| ended.status == 502).count();
+    expect_that!(runs, gt(0));
+    expect_that!(unknown, eq(runs));
+}
