--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod lost_records;
 pub mod metrics;
 pub mod outcome;
+pub mod peer_client;
 pub mod peer_push;
 pub mod peers;
 pub mod probing;
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -9,8 +9,9 @@
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep};
 
+use super::peer_client::PeerClient;
 use super::rate_limits::AnswerKind;
-use super::relay::{self, MAX_REPORTS, PeerClient};
+use super::relay::{self, MAX_REPORTS};
 use super::state::Gateway;
 use super::store::Platform;
 
--- /dev/null
+++ b/src/gateway/peer_client.rs
@@ -0,0 +1,222 @@
+//! Client of the RPC between instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use super::relay::{PermitResponse, RelayClient, STREAMS, StreamPosition};
+use super::send_permit::{PermitAnswer, PermitAsk, PermitReturn};
+use super::state::Gateway;
+use super::store::Platform;
+use super::view::Extent;
+use crate::decision::crash_suspects::{Scope, SuspectReport};
+use crate::decision::rate_limits::LimitReport;
+
+/// Time in which a peer must accept a connection or, beyond the wait of a long
+/// poll, respond.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Why records could not be fetched from a peer.
+#[derive(Debug, Error)]
+pub enum RelayError {
+    /// The connection could not be opened.
+    #[error("cannot connect: {0}")]
+    Unreachable(std::io::Error),
+    /// The call failed, for example because the connection was closed.
+    #[error("call failed: {0}")]
+    Call(client::RpcError),
+    /// The connection or the response took too long.
+    #[error("timed out")]
+    Timeout,
+}
+
+/// A connection to another instance for [`Relay`] calls.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    client: RelayClient,
+    address: SocketAddr,
+    /// Position up to which the peer has told its suspects on this connection.
+    suspects_position: u64,
+    /// The same for its limits.
+    limits_position: u64,
+}
+
+impl PeerClient {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Returns an error if the peer refuses the connection or does not accept it
+    /// in time.
+    pub async fn connect(address: SocketAddr) -> Result<Self, RelayError> {
+        let connect = tcp::connect(address, Bincode::default);
+        let transport = timeout(RESPONSE_TIMEOUT, connect)
+            .await
+            .map_err(|_| RelayError::Timeout)?
+            .map_err(RelayError::Unreachable)?;
+        let client = RelayClient::new(client::Config::default(), transport).spawn();
+        Ok(Self {
+            client,
+            address,
+            suspects_position: 0,
+            limits_position: 0,
+        })
+    }
+
+    /// Address of the peer.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Fetches the records that this instance lacks and applies them; returns
+    /// whether the peer reads the store.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in
+    /// time.
+    pub async fn fetch<P: Platform>(
+        &mut self,
+        gateway: &Gateway<P>,
+        wait: Duration,
+    ) -> Result<bool, RelayError> {
+        let positions = stream_positions(gateway);
+        let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+        let request = self.client.records(
+            context::current(),
+            positions,
+            self.suspects_position,
+            self.limits_position,
+            wait_ms,
+        );
+        let response = timeout(wait + RESPONSE_TIMEOUT, request)
+            .await
+            .map_err(|_| RelayError::Timeout)?
+            .map_err(RelayError::Call)?;
+        // An instance that reaches the store ignores the lapse window of one that
+        // does not.
+        let applies_here = response.is_reader || !gateway.is_active_reader();
+        if response.lapses_left_ms > 0 && applies_here {
+            gateway.extend_lapse_window(response.lapses_left_ms);
+        }
+        let source = self.address.to_string();
+        // The records may make this instance ready, so the suspects and limits come first.
+        gateway.merge_suspects(&response.suspects, &source);
+        gateway.merge_limits(&response.limits, &source);
+        for told in response.streams {
+            let extent = if told.is_whole_state {
+                Extent::PeerState
+            } else {
+                Extent::Following
+            };
+            gateway.apply_records(told.stream, told.records, extent, &source);
+        }
+        self.suspects_position = response.suspects_position;
+        self.limits_position = response.limits_position;
+        gateway.set_heard_from_peer();
+        Ok(response.is_reader)
+    }
+
+    /// Tells the peer of suspect requests.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn report_suspects(&self, reports: Vec<SuspectReport>) -> Result<(), RelayError> {
+        let request = self.client.report_suspects(context::current(), reports);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Asks the peer for the only permit to run the requests of a scope.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn acquire_run(
+        &self,
+        scope: Scope,
+        token: u64,
+        lifetime_ms: u64,
+        report: Option<SuspectReport>,
+    ) -> Result<PermitResponse, RelayError> {
+        let request =
+            self.client
+                .acquire_run(context::current(), scope, token, lifetime_ms, report);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Tells the peer of limits of upstreams, and returns all that it knows unless
+    /// `digest` shows that it is the same.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn exchange_limits(
+        &self,
+        reports: Vec<LimitReport>,
+        digest: u64,
+    ) -> Result<Vec<LimitReport>, RelayError> {
+        let request = self
+            .client
+            .exchange_limits(context::current(), reports, digest);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Asks the peer for a permit to send one request to a limited upstream.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn acquire_send(&self, ask: PermitAsk) -> Result<PermitAnswer, RelayError> {
+        let request = self.client.acquire_send(context::current(), ask);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Gives a permit to send back.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails; the permit then expires.
+    pub async fn return_send_permit(&self, returned: PermitReturn) -> Result<(), RelayError> {
+        let request = self.client.return_send_permit(context::current(), returned);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Gives a permit back.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time; the
+    /// permit then expires.
+    pub async fn release_run(
+        &self,
+        scope: Scope,
+        token: u64,
+        report: Option<SuspectReport>,
+    ) -> Result<(), RelayError> {
+        let request = self
+            .client
+            .release_run(context::current(), scope, token, report);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+}
+
+async fn response_within<T>(
+    limit: Duration,
+    request: impl Future<Output = Result<T, client::RpcError>>,
+) -> Result<T, RelayError> {
+    timeout(limit, request)
+        .await
+        .map_err(|_| RelayError::Timeout)?
+        .map_err(RelayError::Call)
+}
+
+fn stream_positions<P: Platform>(gateway: &Gateway<P>) -> Vec<StreamPosition> {
+    let view = gateway.view();
+    let mut positions = Vec::with_capacity(STREAMS.len());
+    for stream in STREAMS {
+        positions.push(StreamPosition {
+            stream,
+            told_era: view.copy(stream).told_era,
+            next_offset: view.next_offset(stream),
+        });
+    }
+    positions
+}
--- a/src/gateway/peer_push.rs
+++ b/src/gateway/peer_push.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
-use super::relay::{PeerClient, RelayError};
+use super::peer_client::{PeerClient, RelayError};
 use super::state::Gateway;
 use super::store::Platform;
 use crate::decision::rendezvous::weight;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,7 +7,7 @@
 
 use tokio::time::timeout;
 
-use super::relay::{PeerClient, RelayError};
+use super::peer_client::{PeerClient, RelayError};
 use crate::decision::peer_contacts::PeerContacts;
 
 /// Part of the time that a call may take which a kept connection gets.
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::relay::{PeerClient, RelayError};
+use super::peer_client::{PeerClient, RelayError};
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::Platform;
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::calls::Call;
-use super::relay::{PeerClient, RelayError};
+use super::peer_client::{PeerClient, RelayError};
 use super::state::Gateway;
 use super::store::Platform;
 use super::suspects::hex;
--- a/src/gateway/send_permit.rs
+++ b/src/gateway/send_permit.rs
@@ -13,8 +13,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::peer_client::{PeerClient, RelayError};
 use super::reader_role;
-use super::relay::{PeerClient, RelayError};
 use super::state::Gateway;
 use super::store::Platform;
 use crate::decision::directory::Upstream;
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -1,23 +1,22 @@
 //! Requests that end the upstreams that run them. Instances and upstreams talk over
 //! loopback, so these tests run on the real clock.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chicorywing::decision::manifest::Route;
-use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
+use chicorywing::gateway::calls::Call;
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::Outcome;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::store::Stream;
 use futures::future::join_all;
 use googletest::prelude::*;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
-use tokio::time::{Instant, sleep};
+use http::{HeaderName, HeaderValue};
+use tokio::time::sleep;
 
 use super::call_forwarding::gateway_to;
-use super::fake::{FakeStore, Mode, TestInstance, own_address, route, settings, within};
+use super::fake::{FakeStore, Mode, TestInstance, call, own_address, route, settings, within};
 use super::fragile::FragileUpstream;
 use super::upstream::{Behaviour, FakeUpstream};
 
@@ -134,27 +133,6 @@
     outcome.status().as_u16()
 }
 
-/// A request with an id of its own; the body names what the caller asks for.
-fn call(route: &Route, body: &str) -> Call {
-    let mut headers = HeaderMap::new();
-    let id = HeaderValue::from_str(&format!("call-{}", rand::random::<u64>())).unwrap();
-    headers.insert("t-id", id.clone());
-    let arrived = Instant::now();
-    Call {
-        id: Some(id),
-        method: Method::POST,
-        target: "/path".to_owned(),
-        headers,
-        body: Bytes::copy_from_slice(body.as_bytes()),
-        reservation: BodyReservation::new(&BodyMemory::new(1_000_000)),
-        route: Arc::new(route.clone()),
-        version: 1,
-        arrived,
-        deadline: arrived + Duration::from_millis(route.timeout_ms),
-        fingerprint: OnceLock::new(),
-    }
-}
-
 fn non_idempotent_route() -> Route {
     Route {
         is_idempotent: false,
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -3,12 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicorywing::decision::directory::{UpstreamReport, UpstreamState};
 use chicorywing::decision::manifest::{CallerLimits, Manifest, Route, ServiceSpec, Target};
 use chicorywing::decision::retry_budget::RetryLimit;
+use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::{
@@ -17,7 +19,7 @@
 use chicorywing::gateway::{
     follower, limit_exchange, lost_records, reader_role, relay, suspect_records,
 };
-use http::HeaderName;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -475,6 +477,27 @@
     }
 }
 
+/// A request with an id of its own; the body names what the caller asks for.
+pub fn call(route: &Route, body: &str) -> Call {
+    let mut headers = HeaderMap::new();
+    let id = HeaderValue::from_str(&format!("call-{}", rand::random::<u64>())).unwrap();
+    headers.insert("t-id", id.clone());
+    let arrived = Instant::now();
+    Call {
+        id: Some(id),
+        method: Method::POST,
+        target: "/path".to_owned(),
+        headers,
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        reservation: BodyReservation::new(&BodyMemory::new(1_000_000)),
+        route: Arc::new(route.clone()),
+        version: 1,
+        arrived,
+        deadline: arrived + Duration::from_millis(route.timeout_ms),
+        fingerprint: OnceLock::new(),
+    }
+}
+
 /// Waits until `holds` returns true; panics after `limit`.
 pub async fn within(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
     let wait = async {
--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -5,20 +5,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
 use chicorywing::decision::manifest::Route;
-use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::Outcome;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::store::Stream;
-use http::{HeaderMap, HeaderValue, Method};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, interval, sleep};
 
-use super::fake::{FakeStore, TestInstance, own_address, settings, within};
+use super::fake::{FakeStore, TestInstance, call, own_address, settings, within};
 use super::upstream::{id_line, read_request};
 
 /// Length of the window in which the users count the requests at an upstream.
@@ -284,7 +281,7 @@
             ticks.tick().await;
             let number = through[tasks.len() % through.len()];
             let gateway = Arc::clone(&self.instances[number].gateway);
-            let call = call(route);
+            let call = call(route, "body");
             tasks.push(tokio::spawn(async move {
                 let outcome = forward(&gateway, &call).await;
                 ended(&outcome, call.arrived.elapsed())
@@ -320,23 +317,3 @@
 pub fn served(all: &[Ended]) -> usize {
     all.iter().filter(|ended| ended.status == 200).count()
 }
-
-fn call(route: &Route) -> Call {
-    let mut headers = HeaderMap::new();
-    let id = HeaderValue::from_str(&format!("call-{}", rand::random::<u64>())).unwrap();
-    headers.insert("t-id", id.clone());
-    let arrived = Instant::now();
-    Call {
-        id: Some(id),
-        method: Method::POST,
-        target: "/path".to_owned(),
-        headers,
-        body: Bytes::from_static(b"body"),
-        reservation: BodyReservation::new(&BodyMemory::new(1_000_000)),
-        route: Arc::new(route.clone()),
-        version: 1,
-        arrived,
-        deadline: arrived + Duration::from_millis(route.timeout_ms),
-        fingerprint: std::sync::OnceLock::new(),
-    }
-}
