Soak: play gateways that are cut off from the others

Three of 13 gateways get another store, in which the others stand at an address that accepts connections and never answers, and the others find them there.

--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -12,6 +12,7 @@
 use crate::crashing;
 use crate::gateway::Gateway;
 use crate::ledger::Ledger;
+use crate::limits;
 use crate::proxy::{Proxy, ProxyMode};
 use crate::store::{Store, StoreMode};
 use crate::upstream::{Fault, RunningUpstream, UpstreamConfig};
@@ -24,6 +25,8 @@
 /// centre. At this ratio the callers use less than half of the capacity.
 const CALLERS_PER_EXTRA_UPSTREAM: usize = 10;
 const STORE_PORT: u16 = 7000;
+const CUT_STORE_PORT: u16 = 7001;
+const SILENT_PORT: u16 = 7002;
 const STORE_PROXY_PORT: u16 = 7100;
 const UPSTREAM_PORT: u16 = 7300;
 const UPSTREAM_PROXY_PORT: u16 = 7400;
@@ -81,6 +84,7 @@
 #[derive(Debug)]
 pub struct TestEnv {
     pub store: Arc<Store>,
+    _silent: std::net::TcpListener,
     pub ledger: Ledger,
     pub gateways: Vec<Gateway>,
     pub upstreams: tokio::sync::Mutex<Vec<Option<RunningUpstream>>>,
@@ -109,19 +113,48 @@
             std::env::temp_dir().join(format!("chicorywing-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let store_address = SocketAddr::from((host, STORE_PORT));
-        let store = Store::start(store_address).await;
+        let cut = limits::cut_gateways(seed, size.gateways);
+        let cut_address = SocketAddr::from((host, CUT_STORE_PORT));
+        let cut_store = Store::start(cut_address, None).await;
+        let mirror = (!cut.is_empty()).then(|| Arc::clone(&cut_store));
+        let store = Store::start(store_address, mirror).await;
+        // Accepts connections and never answers, like an instance behind a cut.
+        let silent = std::net::TcpListener::bind(SocketAddr::from((host, SILENT_PORT))).unwrap();
+        for number in 0..size.gateways {
+            if cut.is_empty() {
+                break;
+            }
+            let without_it = if cut.contains(&number) {
+                &store
+            } else {
+                &cut_store
+            };
+            let entry = format!(
+                "{} {}",
+                silent.local_addr().unwrap(),
+                DATA_CENTRES[number % DATA_CENTRES.len()]
+            );
+            without_it.put(
+                "keyed.instances",
+                &format!("instance/gate-{number}"),
+                entry.as_bytes(),
+            );
+        }
         let mut gateways = Vec::new();
         for number in 0..size.gateways {
             let proxy_address = SocketAddr::from((host, port(STORE_PROXY_PORT, number)));
+            let store_address = if cut.contains(&number) {
+                cut_address
+            } else {
+                store_address
+            };
             let proxy = Proxy::start(proxy_address, store_address).await;
-            gateways.push(Gateway::new(
-                number,
-                size.gateways,
-                host,
-                proxy_address,
-                proxy,
-                &folder,
-            ));
+            let mut gateway =
+                Gateway::new(number, size.gateways, host, proxy_address, proxy, &folder);
+            if cut.contains(&number) {
+                gateway.set_seed(silent.local_addr().unwrap());
+            }
+            gateways.push(gateway);
         }
         let mut upstream_proxies = Vec::new();
         for position in 0..size.upstreams() {
@@ -131,6 +164,7 @@
         }
         let env = Arc::new(Self {
             store,
+            _silent: silent,
             ledger: Ledger::default(),
             gateways,
             upstreams: tokio::sync::Mutex::default(),
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Replaces the addresses of other gateways in the settings by one that never answers.
+    pub fn set_seed(&mut self, address: SocketAddr) {
+        self.settings["seeds"] = serde_json::json!([address.to_string()]);
+    }
+
     /// Starts the process unless it is already running.
     pub async fn start(&self, is_first_start: bool) {
         let mut child = self.child.lock().await;
--- a/tests/soak/limits.rs
+++ b/tests/soak/limits.rs
@@ -1,6 +1,7 @@
 //! Upstreams that name limits on the rate of their requests.
 
 use std::collections::HashMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
 /// Gateways through which callers enter in [`Play::TwoEntries`].
 const ENTRIES: [usize; 2] = [0, 7];
 
+/// Gateways that are cut off in [`Play::GatewaysCutFromPeers`].
+const CUT_GATEWAYS: usize = 3;
+
 /// What is played without drawn faults, by hand.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumCount, EnumIter)]
 pub enum Play {
@@ -53,6 +57,8 @@
     TwoEntries,
     /// The limited upstream ends and returns.
     UpstreamRestarts,
+    /// Some gateways and the others do not hear each other.
+    GatewaysCutFromPeers,
     /// Zero, no number, and more than any upstream takes.
     OddValues,
 }
@@ -80,6 +86,16 @@
     }
 }
 
+/// The gateways that are cut off from the others for the whole run of a seed.
+pub fn cut_gateways(seed: u64, gateways: usize) -> Range<usize> {
+    let is_played = Play::of(seed) == Some(Play::GatewaysCutFromPeers);
+    if is_played {
+        gateways - CUT_GATEWAYS..gateways
+    } else {
+        0..0
+    }
+}
+
 /// The gateways that callers may use, if the seed restricts them.
 pub fn entries(seed: u64) -> Option<&'static [usize]> {
     (Play::of(seed) == Some(Play::TwoEntries)).then_some(&ENTRIES)
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -50,15 +50,18 @@
     /// Number of returns from an older copy.
     era: AtomicU64,
     mode: watch::Sender<StoreMode>,
+    /// A store that gets all that operators and upstreams write, too.
+    mirror: Option<Arc<Self>>,
 }
 
 impl Store {
-    pub async fn start(address: SocketAddr) -> Arc<Self> {
+    pub async fn start(address: SocketAddr, mirror: Option<Arc<Self>>) -> Arc<Self> {
         let store = Arc::new(Self {
             topics: Mutex::default(),
             write_count: watch::Sender::new(0),
             era: AtomicU64::new(0),
             mode: watch::Sender::new(StoreMode::Healthy),
+            mirror,
         });
         let listener = TcpListener::bind(address).await.unwrap();
         let server = Arc::clone(&store);
@@ -77,6 +80,9 @@
     /// Appends a record, as operators and upstreams do. An empty value deletes the
     /// key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        if let Some(mirror) = self.mirror.as_ref().filter(|_| topic != "keyed.instances") {
+            mirror.put(topic, key, value);
+        }
         let record = (key.to_owned(), value.to_vec());
         self.topics()
             .entry(topic.to_owned())
