--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -16,7 +16,7 @@
 use super::state::{Gateway, RouteMeans};
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
-use crate::connection::exchange::{ExchangeError, HttpRequest, HttpResponse};
+use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::decision::ejection::Evidence;
 use crate::decision::selection::{Reading, USUAL_SPEED_PERCENT, expected_ms};
 
@@ -119,16 +119,14 @@
     let request = upstream_request(names, call, &chosen.upstream.report.id);
     let sent_at = Instant::now();
     let deadline = attempt_deadline(call, expected_ms, sent_at);
-    let exchange =
-        connection.exchange_within(&request, Some(&names.request_id), &gateway.response_memory);
-    let result = timeout_at(deadline, exchange).await;
+    let result = exchange_until(gateway, call, &mut connection, &request, deadline).await;
     guard.is_finished = true;
     gateway
         .metrics
         .upstream_s
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
-        Ok(Ok(response)) => {
+        Some(Ok(response)) => {
             note_limit(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response);
@@ -138,12 +136,12 @@
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
             sent
         }
-        Ok(Err(error)) => {
+        Some(Err(error)) => {
             on_exchange_error(gateway, call, &client, &error);
             crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
-        Err(_) => {
+        None => {
             // Closing the connection cancels the request at the upstream.
             drop(connection);
             on_timeout(gateway, call, &client, sent_at);
@@ -152,6 +150,25 @@
     }
 }
 
+/// Sends the request and waits for the response; `None` if it does not arrive in time.
+async fn exchange_until<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    connection: &mut Connection,
+    request: &HttpRequest,
+    deadline: Instant,
+) -> Option<Result<HttpResponse, ExchangeError>> {
+    let id_header = Some(&gateway.platform.headers().request_id);
+    let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
+    tokio::pin!(exchange);
+    let mut result = timeout_at(deadline, &mut exchange).await;
+    if result.is_err() && gateway.is_stopping() {
+        // The upstream is at work, and a retry may find no room before the process ends.
+        result = timeout_at(call.deadline, &mut exchange).await;
+    }
+    result.ok()
+}
+
 fn attempt_deadline(call: &Call, expected_ms: f64, sent_at: Instant) -> Instant {
     if !call.route.is_idempotent {
         return call.deadline;
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -528,3 +528,18 @@
     expect_that!(slow.runs().len(), eq(1));
     expect_that!(other.runs(), is_empty());
 }
+
+// Guards against a planned stop breaking off a request at which its upstream is at work,
+// although there is time left, because a retry found no room.
+#[gtest]
+#[tokio::test]
+async fn a_stopping_instance_waits_for_an_upstream_at_work() {
+    let slow = FakeUpstream::start("slow", Behaviour::Serve(Duration::from_millis(1_200))).await;
+    let gateway = gateway_to(&[&slow], &route());
+    gateway.begin_stop();
+
+    let outcome = forward(&gateway, &call(&route())).await;
+
+    expect_that!(body(&outcome), eq(b"good"));
+    expect_that!(slow.disconnects(), eq(0));
+}
