--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -97,7 +97,7 @@
         }
         let mut settings = self.settings.clone();
         settings["is_first_start"] = is_first_start.to_string().into();
-        std::fs::write(&self.settings_file, settings.to_string()).unwrap();
+        self.write_settings(&settings);
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -119,13 +119,20 @@
         self.child.lock().await.is_some()
     }
 
+    /// Replaces the settings file as a whole, as a process may be starting just now.
+    fn write_settings(&self, settings: &serde_json::Value) {
+        let new_file = self.settings_file.with_extension("new");
+        std::fs::write(&new_file, settings.to_string()).unwrap();
+        std::fs::rename(&new_file, &self.settings_file).unwrap();
+    }
+
     /// Rewrites the settings file; the gateway reloads it on SIGHUP or when it next
     /// checks the file.
     pub fn change_settings(&self, probes_per_s: u32) {
         let mut settings = self.settings.clone();
         settings["is_first_start"] = "false".into();
         settings["probes_per_s"] = probes_per_s.to_string().into();
-        std::fs::write(&self.settings_file, settings.to_string()).unwrap();
+        self.write_settings(&settings);
     }
 
     /// Asks the process to reload its settings, unless it has just been started: no
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -73,7 +73,7 @@
     ),
     (
         535,
-        "SIGHUP during its start ended a gateway, before its handlers were installed; the test also sent it within the first milliseconds",
+        "SIGHUP during its start ended a gateway, before its handlers were installed; the test also sent it within the first milliseconds, and wrote settings that the process was reading",
     ),
 ];
 /// Seeds that play [`crashing::Play`] instead of drawn faults; they run alone.
