List soak seed 568: a stopped request lost by the store and all gateways

The store returned from a copy without the record, was slow and hung; all gateways were killed 1.8 s later, before a reader had written it again. The request then ended three more upstreams, and two after another kill of all: 5 late runs, bound 3.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -33,7 +33,7 @@
 
 /// Seeds that failed once, with the cause of each. They run before the seeds in
 /// `SOAK_SEEDS`.
-const FAILED_ONCE: [(u64, &str); 14] = [
+const FAILED_ONCE: [(u64, &str); 15] = [
     (
         1,
         "the test started a gateway while its previous process was stopping",
@@ -75,6 +75,10 @@
         535,
         "SIGHUP during its start ended a gateway, before its handlers were installed; the test also sent it within the first milliseconds, and wrote settings that the process was reading",
     ),
+    (
+        568,
+        "open: the store lost a stopped request, and all gateways ended before it was written again",
+    ),
 ];
 /// Seeds that play [`crashing::Play`] instead of drawn faults; they run alone.
 const PLAY_SEEDS: std::ops::RangeInclusive<u64> = 301..=307;
