Log the target of each 404 and the age of the routes that it was decided by

Each instance now keeps the time of the store's last answer for each stream, tells it to instances that follow it, and logs it with a 404; gauge operator_records_age_ms.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod stream_ages;
 pub mod stream_copy;
 pub mod supervisor;
 pub mod suspect_records;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -14,7 +14,8 @@
 
 use super::fingerprint::fingerprint;
 use super::outcome::{Outcome, Reason, remove_hop_by_hop_headers};
-use super::store::HeaderNames;
+use super::state::Gateway;
+use super::store::{HeaderNames, Platform, Stream};
 use crate::decision::crash_suspects::Fingerprint;
 use crate::decision::manifest::{Manifest, Route};
 
@@ -24,6 +25,9 @@
 /// Retry delay for callers refused because [`BodyMemory`] is full.
 const MEMORY_FULL_RETRY_AFTER_MS: u64 = 300;
 
+/// Characters of a path in a log line, enough to show the prefix that selects a route.
+const MAX_LOGGED_PATH_CHARS: usize = 128;
+
 /// Limit on the memory used by the bodies of all requests together.
 #[derive(Debug)]
 pub struct BodyMemory {
@@ -150,12 +154,12 @@
 /// # Errors
 /// Returns the final response to the caller if no version is known, no route
 /// matches, the body is too long or cannot be read, or [`BodyMemory`] is full.
-pub async fn read_call(
+pub async fn read_call<P: Platform>(
+    gateway: &Gateway<P>,
     request: Request<Incoming>,
     manifest: Option<&Arc<Manifest>>,
-    names: &HeaderNames,
-    memory: &Arc<BodyMemory>,
 ) -> Result<Call, Outcome> {
+    let names = gateway.platform.headers();
     let arrived = Instant::now();
     let Some(manifest) = manifest else {
         return Err(Outcome::refused(
@@ -168,9 +172,11 @@
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let path = head.uri.path();
     let Some(route) = manifest.route(host, path) else {
+        log_no_route(gateway, head.headers.get(&names.request_id), host, path);
         return Err(Outcome::gateway_error(Reason::NoRoute));
     };
-    let (body, reservation) = read_body(body, manifest.limits.max_body_bytes, memory).await?;
+    let limit_bytes = manifest.limits.max_body_bytes;
+    let (body, reservation) = read_body(body, limit_bytes, &gateway.body_memory).await?;
     let timeout_ms = parse_number(&head.headers, &names.deadline_ms).unwrap_or(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(timeout_ms.min(route.timeout_ms));
     let target = head
@@ -199,6 +205,31 @@
     })
 }
 
+/// Logs the target of a request without a route, and how old the routes may be.
+fn log_no_route<P: Platform>(
+    gateway: &Gateway<P>,
+    id: Option<&HeaderValue>,
+    host: &str,
+    path: &str,
+) {
+    if !gateway.log_budget.take() {
+        return;
+    }
+    let version = gateway.manifest().map(|manifest| manifest.version);
+    let confirmed_age_ms = gateway
+        .stream_ages
+        .age_ms(Stream::Operator, gateway.now_ms());
+    let path: String = path.chars().take(MAX_LOGGED_PATH_CHARS).collect();
+    tracing::info!(
+        request = id_text(id),
+        host,
+        path,
+        version,
+        confirmed_age_ms,
+        "request refused: no route matches"
+    );
+}
+
 async fn read_body(
     body: Incoming,
     limit_bytes: usize,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -132,6 +132,7 @@
         gateway.metrics.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
+                gateway.stream_ages.confirm(stream, gateway.now_ms());
                 // A long poll of a slow store may miss a record that is written while
                 // the poll arrives.
                 let is_short_poll = needs_short_poll || !is_loaded;
@@ -285,6 +286,9 @@
         match read_stream(&gateway, Stream::Operator, true, Duration::ZERO).await {
             Ok(records) => {
                 gateway.metrics.on_store_call(true);
+                gateway
+                    .stream_ages
+                    .confirm(Stream::Operator, gateway.now_ms());
                 if began.elapsed() > PROMPT_RESPONSE_TIME {
                     gateway.store_recheck.notify_waiters();
                 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -68,6 +68,8 @@
     store_calls: EndCounters,
     /// Version of the manifest in use.
     pub version: Gauge<u64, AtomicU64>,
+    /// Time since the store confirmed the operators' records, when last asked.
+    pub operator_records_age_ms: Gauge<u64, AtomicU64>,
     /// Number of known upstreams.
     pub upstreams: Gauge<u64, AtomicU64>,
     /// Requests in flight.
@@ -102,6 +104,7 @@
             stopped_requests: Gauge::default(),
             store_calls: EndCounters::default(),
             version: Gauge::default(),
+            operator_records_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             in_flight: Gauge::default(),
             request_s: time(),
@@ -153,6 +156,12 @@
         let calls = self.store_calls.clone();
         registry.register("store_calls", "Calls to the store by how they ended", calls);
         registry.register("version", "Version in force", self.version.clone());
+        let age = self.operator_records_age_ms.clone();
+        registry.register(
+            "operator_records_age_ms",
+            "Time since the store confirmed the operators' records",
+            age,
+        );
         registry.register("upstreams", "Known upstreams", self.upstreams.clone());
         registry.register("in_flight", "Requests served now", self.in_flight.clone());
         registry.register(
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -114,6 +114,10 @@
             };
             gateway.apply_records(told.stream, told.records, extent, &source);
         }
+        let now_ms = gateway.now_ms();
+        gateway
+            .stream_ages
+            .confirm_told(&response.stream_ages_ms, now_ms);
         self.suspects_position = response.suspects_position;
         self.limits_position = response.limits_position;
         gateway.set_heard_from_peer();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -72,6 +72,9 @@
     pub limits: Vec<LimitReport>,
     /// Position after them.
     pub limits_position: u64,
+    /// Time since the store last confirmed each stream, in the order of [`STREAMS`], in
+    /// milliseconds.
+    pub stream_ages_ms: Vec<u64>,
 }
 
 /// Response to [`Relay::acquire_run`].
@@ -264,6 +267,7 @@
         limits_position,
         is_reader: gateway.is_active_reader(),
         lapses_left_ms: gateway.lapse_window_left_ms(),
+        stream_ages_ms: gateway.stream_ages.ages_ms(now_ms),
     }
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -23,7 +23,7 @@
 use super::metrics::end_label;
 use super::outcome::{Outcome, Reason};
 use super::state::Gateway;
-use super::store::Platform;
+use super::store::{Platform, Stream};
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -332,8 +332,7 @@
         return Outcome::refused(Reason::Overloaded, OVERLOAD_RETRY_AFTER_MS);
     }
     let manifest = gateway.manifest().filter(|_| gateway.knows_fleet_state());
-    let names = gateway.platform.headers();
-    match calls::read_call(request, manifest.as_ref(), names, &gateway.body_memory).await {
+    match calls::read_call(gateway, request, manifest.as_ref()).await {
         Ok(call) => forward(gateway, &call).await,
         Err(outcome) => outcome,
     }
@@ -427,6 +426,9 @@
         let gateway = Arc::clone(&gateway);
         tokio::spawn(async move {
             let service = service_fn(|_: Request<Incoming>| {
+                let now_ms = gateway.now_ms();
+                let age_ms = gateway.stream_ages.age_ms(Stream::Operator, now_ms);
+                gateway.metrics.operator_records_age_ms.set(age_ms);
                 let text = gateway.metrics.text();
                 async move { Ok::<_, Infallible>(text_response(StatusCode::OK, text)) }
             });
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
+use super::stream_ages::StreamAges;
 use super::suspects::SuspectState;
 use super::upstream_client::UpstreamClients;
 use super::view::{Event, Extent, View};
@@ -77,6 +78,8 @@
     /// Notified when a call to the store fails, is slow, or succeeds again after
     /// failures; every follower then checks its own connection with a short read.
     pub store_recheck: Notify,
+    /// When the store last confirmed what is known of each stream.
+    pub stream_ages: StreamAges,
     /// Notified when a long poll of [`Stream::Operator`] starts.
     pub long_poll_started: Notify,
     /// Requests that are suspected of ending upstreams.
@@ -122,6 +125,7 @@
             response_memory: ResponseMemory::new(body_bytes),
             upstream_clients: UpstreamClients::default(),
             store_recheck: Notify::new(),
+            stream_ages: StreamAges::default(),
             long_poll_started: Notify::new(),
             suspects: SuspectState::default(),
             peers: Peers::default(),
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -292,6 +292,30 @@
     expect_that!(reader.view().next_offset(Stream::Instances), eq(1));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_age_of_a_stream_grows_while_the_store_is_silent() {
+    let store = FakeStore::new();
+    let gateway = loaded_gateway(&store).await;
+    let age_ms = || {
+        gateway
+            .stream_ages
+            .age_ms(Stream::Operator, gateway.now_ms())
+    };
+    sleep(Duration::from_secs(1)).await;
+    let before_ms = age_ms();
+
+    store.set_mode(Mode::Hanging);
+    sleep(Duration::from_secs(6)).await;
+    let silent_ms = age_ms();
+    store.set_mode(Mode::Healthy);
+    sleep(RECOVERY_TIME + CONFIG_BOUND).await;
+
+    expect_that!(before_ms, le(1_100));
+    expect_that!(silent_ms, ge(5_000));
+    expect_that!(age_ms(), le(silent_ms));
+}
+
 /// Instances talk over loopback, so this test runs on the real clock.
 #[gtest]
 #[tokio::test]
