Tests that fail: a stream that alone was silent hides what is written after it

What callers see: a route of a version is answered 404 by the whole fleet for up to 20 s.

The fake store's modes are now set by stream.

--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -51,13 +51,14 @@
     /// Number of returns from a copy.
     era: u64,
     calls: usize,
+    calls_by_stream: HashMap<Stream, usize>,
 }
 
 /// The store, shared by the platforms of all gateways of a test.
 #[derive(Debug)]
 pub struct FakeStore {
     log: Mutex<Log>,
-    mode: watch::Sender<Mode>,
+    modes: watch::Sender<HashMap<Stream, Mode>>,
     written: watch::Sender<u64>,
     has_panicked: AtomicBool,
 }
@@ -66,14 +67,24 @@
     pub fn new() -> Arc<Self> {
         Arc::new(Self {
             log: Mutex::default(),
-            mode: watch::Sender::new(Mode::Healthy),
+            modes: watch::Sender::default(),
             written: watch::Sender::new(0),
             has_panicked: AtomicBool::new(false),
         })
     }
 
+    /// Sets how the store behaves for all streams.
     pub fn set_mode(&self, mode: Mode) {
-        self.mode.send_replace(mode);
+        for stream in relay::STREAMS {
+            self.set_stream_mode(stream, mode);
+        }
+    }
+
+    /// Sets how the store behaves for one stream, which is a part of it.
+    pub fn set_stream_mode(&self, stream: Stream, mode: Mode) {
+        self.modes.send_modify(|modes| {
+            modes.insert(stream, mode);
+        });
     }
 
     /// Appends a record and wakes pending long polls.
@@ -128,6 +139,12 @@
         self.log().calls
     }
 
+    /// Number of calls so far that read or wrote a stream, failed ones included.
+    pub fn stream_call_count(&self, stream: Stream) -> usize {
+        let log = self.log();
+        log.calls_by_stream.get(&stream).copied().unwrap_or(0)
+    }
+
     fn log(&self) -> MutexGuard<'_, Log> {
         self.log.lock().unwrap()
     }
@@ -161,9 +178,17 @@
     }
 
     /// Counts a call and delays or fails it as the mode says.
-    async fn simulate_call(&self, limit: Duration) -> std::result::Result<(), StoreError> {
-        self.log().calls += 1;
-        let mode = *self.mode.borrow();
+    async fn simulate_call(
+        &self,
+        stream: Stream,
+        limit: Duration,
+    ) -> std::result::Result<(), StoreError> {
+        {
+            let mut log = self.log();
+            log.calls += 1;
+            *log.calls_by_stream.entry(stream).or_default() += 1;
+        }
+        let mode = mode_of(&self.modes.borrow(), stream);
         match mode {
             Mode::Healthy => {
                 sleep(Duration::from_millis(4)).await;
@@ -182,8 +207,13 @@
     }
 }
 
-async fn until_hanging(mode: &mut watch::Receiver<Mode>) {
-    let _ = mode.wait_for(|mode| *mode == Mode::Hanging).await;
+fn mode_of(modes: &HashMap<Stream, Mode>, stream: Stream) -> Mode {
+    modes.get(&stream).copied().unwrap_or(Mode::Healthy)
+}
+
+async fn until_hanging(modes: &mut watch::Receiver<HashMap<Stream, Mode>>, stream: Stream) {
+    let is_hanging = |modes: &HashMap<Stream, Mode>| mode_of(modes, stream) == Mode::Hanging;
+    let _ = modes.wait_for(is_hanging).await;
 }
 
 /// The platform of one gateway.
@@ -222,7 +252,8 @@
     }
 
     async fn newest(&self, stream: Stream) -> std::result::Result<Records, StoreError> {
-        self.store.simulate_call(Duration::from_millis(800)).await?;
+        let limit = Duration::from_millis(800);
+        self.store.simulate_call(stream, limit).await?;
         Ok(self.store.newest(stream))
     }
 
@@ -234,7 +265,7 @@
     ) -> std::result::Result<Records, StoreError> {
         let limit = wait + Duration::from_millis(800);
         let began = Instant::now();
-        self.store.simulate_call(limit).await?;
+        self.store.simulate_call(stream, limit).await?;
         if self
             .store
             .log()
@@ -252,7 +283,7 @@
             return Ok(found);
         }
         let mut written = self.store.written.subscribe();
-        let mut mode = self.store.mode.subscribe();
+        let mut modes = self.store.modes.subscribe();
         loop {
             tokio::select! {
                 woken = timeout_at(began + wait, written.changed()) => {
@@ -265,7 +296,7 @@
                         return Ok(Records { era: found.era, records: Vec::new(), next_offset: from });
                     }
                 }
-                () = until_hanging(&mut mode) => {
+                () = until_hanging(&mut modes, stream) => {
                     // The response is lost, while the connection stays open.
                     sleep(limit.saturating_sub(began.elapsed())).await;
                     return Err(StoreError::Unreachable("no response in time".to_owned()));
@@ -279,7 +310,8 @@
         key: &str,
         value: Option<&[u8]>,
     ) -> std::result::Result<(), StoreError> {
-        self.store.simulate_call(Duration::from_millis(800)).await?;
+        let limit = Duration::from_millis(800);
+        self.store.simulate_call(Stream::Instances, limit).await?;
         let text = value.map(|value| std::str::from_utf8(value).unwrap());
         self.store.write(Stream::Instances, key, text);
         Ok(())
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -119,6 +119,68 @@
     }
 }
 
+// Guards against a reader that takes the silence of the operator's stream for the absence
+// of news, while the other streams are answered.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_version_is_applied_after_only_its_own_stream_was_silent() {
+    for silent_ms in [400, 1_000, 2_500, 4_400, 9_000] {
+        let store = FakeStore::new();
+        let gateway = loaded_gateway(&store).await;
+        sleep(Duration::from_secs(4)).await;
+
+        store.set_stream_mode(Stream::Operator, Mode::Hanging);
+        sleep(Duration::from_millis(silent_ms)).await;
+        store.set_stream_mode(Stream::Operator, Mode::Healthy);
+        store.write(Stream::Operator, "config", Some("5"));
+
+        let what = format!("version 5 after {silent_ms} ms of silence");
+        within(RECOVERY_TIME, &what, || version(&gateway) == 5).await;
+    }
+}
+
+// Guards against the same for a drain.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_drain_is_applied_after_only_the_stream_of_upstreams_was_silent() {
+    for silent_ms in [400, 1_000, 2_500, 4_400, 9_000] {
+        let store = FakeStore::new();
+        let gateway = loaded_gateway(&store).await;
+        sleep(Duration::from_secs(4)).await;
+
+        store.set_stream_mode(Stream::Upstreams, Mode::Hanging);
+        sleep(Duration::from_millis(silent_ms)).await;
+        store.set_stream_mode(Stream::Upstreams, Mode::Healthy);
+        store.write(Stream::Upstreams, "up-1", Some("draining"));
+
+        let what = format!("removed from routing after {silent_ms} ms of silence");
+        let is_out = || gateway.eligible_upstreams("s").is_empty();
+        within(RECOVERY_TIME + CONFIG_BOUND, &what, is_out).await;
+    }
+}
+
+// Guards against the same for the addresses of other instances, by which they are asked
+// for records, permits and runs.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_instance_is_known_after_only_the_stream_of_instances_was_silent() {
+    for silent_ms in [400, 1_000, 2_500, 4_400, 9_000] {
+        let store = FakeStore::new();
+        let gateway = loaded_gateway(&store).await;
+        sleep(Duration::from_secs(4)).await;
+
+        store.set_stream_mode(Stream::Instances, Mode::Hanging);
+        sleep(Duration::from_millis(silent_ms)).await;
+        store.set_stream_mode(Stream::Instances, Mode::Healthy);
+        let record = "127.0.0.1:7 dc-a";
+        store.write(Stream::Instances, "instance/other", Some(record));
+
+        let what = format!("the other instance after {silent_ms} ms of silence");
+        let is_known = || gateway.view().instances.contains_key("other");
+        within(RECOVERY_TIME + CONFIG_BOUND, &what, is_known).await;
+    }
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_version_written_while_the_store_is_slow_is_applied() {
