Bound the long polls of the stream of instances like those of upstreams

The same cause in another place: a silent part of the store hid new and moved instances for up to 20 s from a whole data centre. An instance that the others do not know is an issuer of permits in its own eyes only, and gets no news that is pushed.

follower::an_instance_is_known_after_only_the_stream_of_instances_was_silent failed before and passes; 17 more reads a minute for each data centre's reader.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -27,8 +27,8 @@
     /// operator stream, whose bound is shorter.
     fn long_poll_wait(self) -> Duration {
         match self {
-            Self::Operator | Self::Instances => Duration::from_secs(20),
-            Self::Upstreams => Duration::from_secs(3),
+            Self::Operator => Duration::from_secs(20),
+            Self::Upstreams | Self::Instances => Duration::from_secs(3),
         }
     }
 
