Let the fewest instances send to a cold upstream that use its rate

Cause of the failing property: instances that do not know all others each choose the senders from their own view, so more than four send, and each adds one request to the first second. Change: a sender's interval need not exceed one second, so 2.9/s needs three senders, not four (two at least, so that one may end). Rate and interval in full views are unchanged: 12 requests in 4 s with 14 and with 128 instances, a new test asks for the full rate.

--- a/src/decision/cold_limiter.rs
+++ b/src/decision/cold_limiter.rs
@@ -12,6 +12,9 @@
 
 /// Largest number of instances that send to one cold upstream.
 const MAX_SENDERS: usize = 4;
+/// Number of instances that send to the slowest cold upstream, so that it still gets
+/// requests while one of them has ended or is cut off.
+const MIN_SENDERS: usize = 2;
 
 /// Limits what this instance sends to each cold upstream.
 #[derive(Debug, Default)]
@@ -71,9 +74,15 @@
 }
 
 /// Number of instances that may send to an upstream with this limit.
+///
+/// The fewest that send at most once per second each: where views differ, more instances
+/// send, and each of them then adds one request to a second.
 fn senders(limit: ColdLimit) -> usize {
     let most = requests_in_one_second(limit);
-    let mut senders = MAX_SENDERS;
+    let mut senders = MIN_SENDERS;
+    while senders < MAX_SENDERS && f64::from(u32::try_from(senders).unwrap_or(0)) < limit.per_s {
+        senders += 1;
+    }
     // One request from each of twice as many senders must fit into one second.
     while senders > 1 && f64::from(u32::try_from(2 * senders).unwrap_or(u32::MAX)) > most {
         senders -= 1;
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -207,9 +207,9 @@
     expect_that!(directory.is_empty(), eq(true));
 }
 
-/// Largest number of requests that one cold upstream gets in any second, given
-/// the membership view of each instance.
-fn worst_cold_second(views: &[Vec<Arc<str>>], limit: ColdLimit) -> usize {
+/// Times of the requests that one cold upstream gets in 4 s, given the membership view
+/// of each instance.
+fn cold_sends_ms(views: &[Vec<Arc<str>>], limit: ColdLimit) -> Vec<u64> {
     let all = names(views.len());
     let upstream: Arc<str> = "cold".into();
     let mut limiters: Vec<ColdLimiter> = views.iter().map(|_| ColdLimiter::default()).collect();
@@ -221,6 +221,13 @@
             }
         }
     }
+    sent_ms
+}
+
+/// Largest number of requests that one cold upstream gets in any second, given
+/// the membership view of each instance.
+fn worst_cold_second(views: &[Vec<Arc<str>>], limit: ColdLimit) -> usize {
+    let sent_ms = cold_sends_ms(views, limit);
     let mut worst = 0;
     for start_ms in &sent_ms {
         let within = sent_ms
@@ -250,6 +257,24 @@
     }
 }
 
+// Guards against a limit that is kept by leaving a cold upstream idle.
+#[gtest]
+fn instances_that_know_each_other_use_the_rate_of_a_cold_upstream() {
+    for per_s in [1.0, 2.0, 2.9] {
+        let limit = ColdLimit {
+            per_s,
+            factor: 1.5,
+            slack: 5.0,
+        };
+        for instances in [14, 128] {
+            let sends = cold_sends_ms(&vec![names(instances); instances], limit).len();
+
+            let in_4_s = f64::from(u32::try_from(sends).unwrap());
+            expect_that!(in_4_s, ge(4.0 * per_s), "{instances} at {per_s}/s");
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn cold_limit_holds_with_partial_membership_views(
