Send nothing to cold upstreams from an instance that is not registered

Cause: an instance that does not find itself in its own view ranked itself first, though no other can know it; 14 such instances sent 14 requests at once, bound 9. Shown by instances_that_are_not_registered_send_nothing_to_a_cold_upstream, which failed before. Change: it waits until it has read its own entry. It then has read those before it in the store's log, too. A lone registered instance still sends four or more in 4 s (tested).

--- a/src/decision/cold_limiter.rs
+++ b/src/decision/cold_limiter.rs
@@ -3,7 +3,8 @@
 //! The limit holds for the whole fleet without coordination: rendezvous hashing
 //! over the known instances picks a few senders, and each of them sends at most
 //! once per interval. Instances whose membership views differ pick more senders,
-//! so the limit is divided such that twice as many senders still keep it.
+//! so the limit is divided such that twice as many senders still keep it. An instance
+//! whose own view lacks it is not registered yet: no other can know it, so it waits.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -44,7 +45,7 @@
         limit: ColdLimit,
         now_ms: u64,
     ) -> bool {
-        if requests_in_one_second(limit) < 1.0 {
+        if requests_in_one_second(limit) < 1.0 || !instances.contains(me) {
             return false;
         }
         let senders = senders(limit);
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -257,6 +257,31 @@
     }
 }
 
+// Guards against instances that nobody can know yet sending together.
+#[gtest]
+fn instances_that_are_not_registered_send_nothing_to_a_cold_upstream() {
+    let limit = ColdLimit {
+        per_s: 2.9,
+        factor: 1.5,
+        slack: 5.0,
+    };
+
+    expect_that!(cold_sends_ms(&vec![Vec::new(); 14], limit), is_empty());
+    let others: Vec<Arc<str>> = names(14).split_off(1);
+    expect_that!(cold_sends_ms(&[others], limit), is_empty());
+}
+
+#[gtest]
+fn a_registered_instance_without_others_sends_each_1_2_s_to_a_cold_upstream() {
+    let limit = ColdLimit {
+        per_s: 2.9,
+        factor: 1.5,
+        slack: 5.0,
+    };
+
+    expect_that!(cold_sends_ms(&[names(1)], limit).len(), ge(4));
+}
+
 // Guards against a limit that is kept by leaving a cold upstream idle.
 #[gtest]
 fn instances_that_know_each_other_use_the_rate_of_a_cold_upstream() {
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -311,6 +311,12 @@
     let cold = FakeUpstream::start("cold", SERVE_AT_ONCE).await;
     cold.set_cold_left(cold_ms);
     let gateway = gateway_to(&[&cold], &non_idempotent_route());
+    let settings = gateway.settings();
+    let own_entry = settings.as_instance();
+    gateway
+        .view()
+        .instances
+        .insert(Arc::clone(&settings.name), own_entry);
     let mut refused = 0;
     for _ in 0..5 {
         let outcome = forward(&gateway, &call(&non_idempotent_route())).await;
