Draw the same cases of the property tests in each run

All twelve properties (8 test files) now take their configuration from tests/support/properties.rs: 256 cases or more as before, one fixed seed, saved regressions first. FRESH_CASES=1 draws fresh ones, PROPTEST_RNG_SEED sets a seed.

--- a/tests/crash_suspects.rs
+++ b/tests/crash_suspects.rs
@@ -1,5 +1,8 @@
 //! Decisions about requests that end the upstreams that run them.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use chicorywing::decision::crash_suspects::{
     CrashSuspects, End, Fingerprint, MAX_SUSPECTS, Scope, SuspectReport, UpstreamLifetime, Verdict,
 };
@@ -294,6 +297,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     // Guards against instances that hear of the same ends in another order disagreeing.
     #[test]
     fn the_order_of_reports_does_not_matter(
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -1,5 +1,8 @@
 //! Tests of the gateway's pure decisions.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -301,6 +304,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     #[test]
     fn cold_limit_holds_with_partial_membership_views(
         known in prop::collection::vec(prop::collection::vec(prop::bool::weighted(0.7), 14), 14)
@@ -674,6 +679,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     /// After any sequence of reports and removals, a service lists exactly its
     /// ready upstreams, ordered by name.
     #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,5 +1,8 @@
 //! Tests of the adapter between the platform's protocol and the gateway.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -135,6 +138,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     #[test]
     fn decoder_never_panics(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let _ = platform().parse_operator_record("config", &bytes);
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,5 +1,8 @@
 //! Tests the decisions of a pool, without I/O.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -464,6 +467,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     /// For any sequence of events, no upstream gets more calls than its slots, a
     /// leaving one gets no new calls, and each call has at most one outcome.
     #[test]
--- a/tests/rate_limits.rs
+++ b/tests/rate_limits.rs
@@ -1,5 +1,8 @@
 //! Tests of what an instance takes for the limit of an upstream.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::sync::Arc;
 
 use chicorywing::decision::crash_suspects::UpstreamLifetime;
@@ -186,6 +189,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     // Guards against a limit in force that is weaker than what the newest answers say.
     #[test]
     fn no_limit_is_weaker_than_all_answers_that_may_be_the_newest(answers in statements()) {
--- a/tests/send_permits.rs
+++ b/tests/send_permits.rs
@@ -1,6 +1,9 @@
 //! Tests of the permits for limited upstreams, the return times of refused callers, and
 //! who counts as responding.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::net::SocketAddr;
 
 use chicorywing::decision::peer_contacts::PeerContacts;
@@ -171,6 +174,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     // Guards against more requests in 4 s than the users allow, whatever the demand, also
     // while a deputy gives out permits at half the rate beside the principal.
     #[test]
--- a/tests/untrusted.rs
+++ b/tests/untrusted.rs
@@ -1,5 +1,8 @@
 //! Properties of all parsers and decoders of bytes from outside the process.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use chicorywing::connection::list::InstanceList;
 use chicorywing::connection::wire::{GossipMessage, RunRequest};
 use chicorywing::process::config::Config;
@@ -26,6 +29,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     #[test]
     fn parsing_objects_and_settings_never_panics(text in "\\PC{0,200}|[\\[\\]{}:,\"a-z0-9 \n/*]{0,200}") {
         let _ = Objects::parse(&text, "set");
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -1,5 +1,8 @@
 //! Configuration versions, idempotency keys and membership views, without I/O.
 
+#[path = "support/properties.rs"]
+mod properties;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -79,6 +82,8 @@
 }
 
 proptest! {
+    #![proptest_config(properties::config())]
+
     /// Two readers of the same records hold the same version, even if one
     /// applies records twice, and the version never decreases.
     #[test]
