--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -60,28 +60,47 @@
 const SLOW_STORE_PAUSE: Duration = Duration::from_millis(900);
 
 /// Reachability of the store for the follower of one stream.
-#[derive(Debug, Default)]
-struct StoreContact {
-    lost_at: Option<Instant>,
+struct StoreContact<P: Platform> {
+    gateway: Arc<Gateway<P>>,
+    outage: Option<Outage<P>>,
     failures: u32,
 }
 
-impl StoreContact {
+/// Counts a stream as unreachable until it is dropped, also if its follower ends.
+struct Outage<P: Platform> {
+    gateway: Arc<Gateway<P>>,
+    since: Instant,
+}
+
+impl<P: Platform> Drop for Outage<P> {
+    fn drop(&mut self) {
+        self.gateway.clear_store_unreachable();
+    }
+}
+
+impl<P: Platform> StoreContact<P> {
+    fn new(gateway: &Arc<Gateway<P>>) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            outage: None,
+            failures: 0,
+        }
+    }
+
     /// Records a successful read; returns true if it ends an outage.
     fn on_response(&mut self, stream: Stream) -> bool {
         self.failures = 0;
-        let Some(lost_at) = self.lost_at.take() else {
+        let Some(outage) = self.outage.take() else {
             return false;
         };
-        let outage_ms = super::calls::to_ms(lost_at.elapsed());
+        let outage_ms = super::calls::to_ms(outage.since.elapsed());
         tracing::info!(%stream, outage_ms, "store reads succeed again");
         true
     }
 
     /// Ends the outage when another instance has become the reader.
-    fn reset<P: Platform>(&mut self, gateway: &Gateway<P>, stream: Stream) {
-        if self.lost_at.take().is_some() {
-            gateway.clear_store_unreachable();
+    fn reset(&mut self, stream: Stream) {
+        if self.outage.take().is_some() {
             tracing::info!(%stream, "another instance reads the store; no longer retrying");
         }
     }
@@ -89,10 +108,14 @@
     /// Records a failed read; returns true if it begins an outage.
     fn on_failure(&mut self, stream: Stream, error: &StoreError) -> bool {
         self.failures += 1;
-        if self.lost_at.is_some() {
+        if self.outage.is_some() {
             return false;
         }
-        self.lost_at = Some(Instant::now());
+        self.gateway.on_store_unreachable();
+        self.outage = Some(Outage {
+            gateway: Arc::clone(&self.gateway),
+            since: Instant::now(),
+        });
         tracing::warn!(%stream, %error, "store reads fail; retrying and asking other instances");
         true
     }
@@ -102,7 +125,7 @@
 /// ends.
 pub async fn follow<P: Platform>(gateway: Arc<Gateway<P>>, stream: Stream) {
     let mut role = gateway.watch_reader_role();
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new(&gateway);
     let mut is_loaded = false;
     let mut needs_short_poll = false;
     let mut is_after_records = false;
@@ -130,7 +153,7 @@
             }
             () = gateway.operator_poll_missed_records.notified(), if is_checked => continue,
             _ = wait_for_role(&mut role, false) => {
-                contact.reset(&gateway, stream);
+                contact.reset(stream);
                 continue;
             }
         };
@@ -182,7 +205,6 @@
                 // A long poll could hang beyond the store's recovery.
                 needs_short_poll = true;
                 if contact.on_failure(stream, &error) {
-                    gateway.on_store_unreachable();
                     gateway.store_recheck.notify_waiters();
                 }
                 relay::fetch_from_any_peer(&gateway).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -308,7 +308,6 @@
     /// Records that reads of one stream succeed again; entries may have lapsed
     /// during the outage.
     pub fn on_store_recovered(&self) {
-        self.clear_store_unreachable();
         self.extend_lapse_window(LAPSE_WINDOW_MS);
     }
 
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -473,3 +473,22 @@
         }
     }
 }
+
+// Guards against a follower that is started again in an outage and stays counted as
+// without the store.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_follower_that_ends_in_an_outage_is_not_counted_after_it() {
+    let store = FakeStore::new();
+    let gateway = loaded_gateway(&store).await;
+    let restarted = tokio::spawn(follower::follow(Arc::clone(&gateway), Stream::Operator));
+    sleep(Duration::from_secs(3)).await;
+    store.set_mode(Mode::Refusing);
+    sleep(Duration::from_secs(22)).await;
+
+    restarted.abort();
+    store.set_mode(Mode::Healthy);
+    sleep(Duration::from_secs(10)).await;
+
+    expect_that!(gateway.is_active_reader(), eq(true));
+}
