Tests of instances that reach no upstream; they fail

An instance that has lost its links to all upstreams has no way around them, and what it learnt in the cut outlives it. FakePlatform now gives each gateway its own links to the upstreams, which can hang or be reset.

--- /dev/null
+++ b/tests/gateway/cut_off.rs
@@ -0,0 +1,188 @@
+//! Instances that have lost their links to all upstreams. Instances and upstreams talk
+//! over loopback, so these tests run on the real clock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::forward::forward;
+use chicorywing::gateway::outcome::Outcome;
+use chicorywing::gateway::state::Gateway;
+use chicorywing::gateway::store::Stream;
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::fake::{
+    FakePlatform, FakeStore, TestInstance, call, own_address, route, settings, within,
+};
+use super::links::{LinkState, Links};
+use super::upstream::{Behaviour, FakeUpstream};
+
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a caller's first try is of full use: the route's objective.
+const OBJECTIVE: Duration = Duration::from_millis(500);
+/// Time in which a request that nobody can serve is refused, once that is known.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(50);
+/// Time after which a fake upstream serves in these tests.
+const WORK: Duration = Duration::from_millis(5);
+
+struct Fleet {
+    instances: Vec<TestInstance>,
+    links: Vec<Arc<Links>>,
+    upstreams: Vec<FakeUpstream>,
+}
+
+impl Fleet {
+    /// Starts instances and upstreams that serve, and one request at each instance.
+    async fn start(instances: usize, upstreams: usize) -> Self {
+        let store = FakeStore::new();
+        let mut fleet = Self {
+            instances: Vec::new(),
+            links: Vec::new(),
+            upstreams: Vec::new(),
+        };
+        for number in 0..upstreams {
+            let id = format!("up-{number}");
+            let upstream = FakeUpstream::start(&id, Behaviour::Serve(WORK)).await;
+            let report = format!("ready {}", upstream.address);
+            store.write(Stream::Upstreams, &id, Some(&report));
+            fleet.upstreams.push(upstream);
+        }
+        store.write(Stream::Operator, "config", Some("1"));
+        let mut seeds = Vec::new();
+        for number in 0..instances {
+            let links = Links::new();
+            for upstream in &fleet.upstreams {
+                links.add(upstream.address).await;
+            }
+            let address = own_address();
+            let settings = settings(&format!("gate-{number}"), address, &seeds);
+            let platform = FakePlatform::new(&store).with_links(&links);
+            let instance = TestInstance::start_with(platform, settings).await;
+            fleet.instances.push(instance);
+            fleet.links.push(links);
+            seeds.push(address);
+        }
+        let all_know_all = || {
+            fleet.instances.iter().all(|instance| {
+                let view = instance.gateway.view();
+                view.instances.len() == instances && view.directory.len() == upstreams
+            })
+        };
+        within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
+        for number in 0..instances {
+            fleet.send(number, &route()).await;
+        }
+        fleet
+    }
+
+    fn gateway(&self, number: usize) -> &Arc<Gateway<FakePlatform>> {
+        &self.instances[number].gateway
+    }
+
+    async fn send(&self, number: usize, route: &Route) -> Outcome {
+        forward(self.gateway(number), &call(route, "body")).await
+    }
+
+    fn runs(&self) -> usize {
+        self.upstreams.iter().map(|one| one.runs().len()).sum()
+    }
+
+    fn set_behaviour(&self, behaviour: Behaviour) {
+        for upstream in &self.upstreams {
+            upstream.set_behaviour(behaviour);
+        }
+    }
+
+    async fn is_served_in_time(&self, number: usize) -> bool {
+        let sent = timeout(OBJECTIVE, self.send(number, &route())).await;
+        sent.is_ok_and(|outcome| outcome.status() == 200)
+    }
+}
+
+// Guards against an instance that refuses its callers while others have room.
+#[gtest]
+#[tokio::test]
+async fn first_tries_at_a_cut_off_instance_are_served_by_others() {
+    for state in [LinkState::Hanging, LinkState::Resetting] {
+        let fleet = Fleet::start(3, 4).await;
+        fleet.links[0].set(state);
+
+        let mut served = 0;
+        for _ in 0..20 {
+            served += usize::from(fleet.is_served_in_time(0).await);
+            sleep(Duration::from_millis(20)).await;
+        }
+
+        expect_that!(served, eq(20), "{state:?}");
+    }
+}
+
+// Guards against the one instance with links not being found.
+#[gtest]
+#[tokio::test]
+async fn one_instance_with_links_serves_for_all_others() {
+    let fleet = Fleet::start(5, 4).await;
+    for links in &fleet.links[1..] {
+        links.set(LinkState::Hanging);
+    }
+
+    let mut served = 0;
+    for attempt in 0..20 {
+        served += usize::from(fleet.is_served_in_time(1 + attempt % 4).await);
+    }
+
+    expect_that!(served, eq(20));
+}
+
+// Guards against requests that wait, or go round in circles, while no instance has links.
+#[gtest]
+#[tokio::test]
+async fn requests_are_refused_at_once_as_not_run_while_all_are_cut_off() {
+    let fleet = Fleet::start(2, 4).await;
+    let runs = fleet.runs();
+    for links in &fleet.links {
+        links.set(LinkState::Hanging);
+    }
+    for number in 0..2 {
+        fleet.send(number, &route()).await;
+    }
+    sleep(Duration::from_millis(300)).await;
+
+    for number in [0, 1, 0, 1] {
+        let began = Instant::now();
+        let outcome = fleet.send(number, &route()).await;
+
+        let Outcome::GatewayError { retry_after, .. } = &outcome else {
+            panic!("answered: {outcome:?}");
+        };
+        expect_that!(outcome.status().as_u16(), eq(503));
+        expect_that!(*retry_after, some(gt(Duration::ZERO)));
+        expect_that!(began.elapsed(), lt(REFUSAL_LIMIT));
+    }
+    expect_that!(fleet.runs(), eq(runs));
+}
+
+// Guards against ejections that outlive the cut in which they were learnt.
+#[gtest]
+#[tokio::test]
+async fn requests_are_served_again_as_soon_as_the_links_are_back() {
+    for state in [LinkState::Hanging, LinkState::Resetting] {
+        let fleet = Fleet::start(1, 4).await;
+        fleet.links[0].set(state);
+        let end = Instant::now() + Duration::from_millis(1_500);
+        while Instant::now() < end {
+            fleet.send(0, &route()).await;
+            sleep(Duration::from_millis(20)).await;
+        }
+        fleet.links[0].set(LinkState::Up);
+        sleep(OBJECTIVE).await;
+
+        let mut served = 0;
+        for _ in 0..20 {
+            served += usize::from(fleet.is_served_in_time(0).await);
+        }
+
+        expect_that!(served, eq(20), "{state:?}");
+    }
+}
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -24,6 +24,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::links::Links;
+
 /// Service of all upstreams in these tests.
 pub const SERVICE: &str = "s";
 /// Data centre of the gateways in these tests.
@@ -191,12 +193,14 @@
 pub struct FakePlatform {
     pub store: Arc<FakeStore>,
     names: HeaderNames,
+    links: Arc<Links>,
 }
 
 impl FakePlatform {
     pub fn new(store: &Arc<FakeStore>) -> Self {
         Self {
             store: Arc::clone(store),
+            links: Links::new(),
             names: HeaderNames {
                 request_id: HeaderName::from_static("t-id"),
                 deadline_ms: HeaderName::from_static("t-deadline-ms"),
@@ -210,6 +214,14 @@
             },
         }
     }
+
+    /// Reaches upstreams only through these links.
+    pub fn with_links(self, links: &Arc<Links>) -> Self {
+        Self {
+            links: Arc::clone(links),
+            ..self
+        }
+    }
 }
 
 impl Platform for FakePlatform {
@@ -332,6 +344,7 @@
         let address = fields
             .next()
             .map_or(nowhere, |address| address.parse().unwrap());
+        let address = self.links.address_of(address);
         let started_at_ms = fields.next().map_or(1, |time| time.parse().unwrap());
         Ok(UpstreamReport {
             started_at_ms,
@@ -438,12 +451,17 @@
 impl TestInstance {
     /// Starts the tasks that read the store and talk to other instances.
     pub async fn start(store: &Arc<FakeStore>, settings: Settings) -> Self {
+        Self::start_with(FakePlatform::new(store), settings).await
+    }
+
+    /// Like [`TestInstance::start`], with a platform of its own.
+    pub async fn start_with(platform: FakePlatform, settings: Settings) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .unwrap();
-        let gateway = Gateway::new(FakePlatform::new(store), settings);
+        let gateway = Gateway::new(platform, settings);
         let started = runtime.spawn(start_tasks(Arc::clone(&gateway)));
         started.await.unwrap();
         Self {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,11 +2,13 @@
 
 mod call_forwarding;
 mod crashing_requests;
+mod cut_off;
 mod endless_responses;
 mod fake;
 mod follower;
 mod fragile;
 mod limited;
+mod links;
 mod outcomes;
 mod process;
 mod rate_limits;
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -108,6 +108,10 @@
         upstream
     }
 
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        self.state.lock().unwrap().behaviour = behaviour;
+    }
+
     pub fn set_load(&self, load: &str) {
         load.clone_into(&mut self.state.lock().unwrap().load);
     }
