Hand requests over to other instances while no upstream answers

Cause: an instance whose links to upstreams are lost had no way around them, and ejected healthy upstreams by failures of its own links. Change: the belief cut off (ContactState), offers and run_handed between instances (hand_over, handed, taken), ejections learnt in a cut taken back, idle connections closed at its end, refused connections no ends of upstreams while cut off.

--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -120,6 +120,12 @@
         to_ms(self.arrived.elapsed())
     }
 
+    /// The host that the caller named in its headers.
+    #[must_use]
+    pub fn host(&self) -> Option<&str> {
+        self.headers.get(HOST)?.to_str().ok()
+    }
+
     /// Identifies the request across its repetitions.
     #[must_use]
     pub fn fingerprint(&self, names: &HeaderNames) -> Fingerprint {
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -41,6 +41,7 @@
     request: String,
     fingerprint: Fingerprint,
     client: Arc<UpstreamClient>,
+    failed: Instant,
     at_unix_ms: u64,
 }
 
@@ -58,16 +59,18 @@
     if !matches!(error, ExchangeError::Disconnected(_)) || is_leaving(gateway, client) {
         return;
     }
+    let failed = Instant::now();
     let failure = Failure {
         request: call.id_text().to_owned(),
         fingerprint: call.fingerprint(gateway.platform.headers()),
         client: Arc::clone(client),
+        failed,
         at_unix_ms: unix_ms(),
     };
     let listens = client.check_listens(&gateway.metrics).await;
     log_failure(gateway, &failure, listens);
     if listens == ListenState::Refused {
-        record_end(gateway, &failure, "connection-refused");
+        record_end(gateway, &failure, "connection-refused").await;
         return;
     }
     let Ok(watch) = Arc::clone(&gateway.suspects.end_watches).try_acquire_owned() else {
@@ -123,7 +126,9 @@
     for delay in ACCEPT_CHECK_DELAYS {
         sleep(delay).await;
         match failure.client.check_accepts(&gateway.metrics).await {
-            ListenState::Refused => return record_end(gateway, failure, "connection-refused"),
+            ListenState::Refused => {
+                return record_end(gateway, failure, "connection-refused").await;
+            }
             ListenState::Closed => closed += 1,
             ListenState::Accepted => break,
             ListenState::Unknown => {}
@@ -131,7 +136,7 @@
     }
     let seems_ended = closed == ACCEPT_CHECK_DELAYS.len();
     if seems_ended {
-        record_end(gateway, failure, "connections-closed");
+        record_end(gateway, failure, "connections-closed").await;
         let until = Instant::now() + SURVIVAL_TIMEOUT;
         while failure.client.check_accepts(&gateway.metrics).await != ListenState::Accepted {
             if Instant::now() >= until {
@@ -142,7 +147,7 @@
     }
     let has_restarted = wait_for_restart(gateway, failure, seems_ended).await;
     match (seems_ended, has_restarted) {
-        (false, true) => record_end(gateway, failure, "new-process"),
+        (false, true) => record_end(gateway, failure, "new-process").await,
         (true, false) => record_survival(gateway, failure),
         (true, true) | (false, false) => {}
     }
@@ -211,9 +216,24 @@
     false
 }
 
-/// Records an end and tells the other instances.
-fn record_end<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure, shown_by: &'static str) {
+/// Records an end and tells the other instances, unless this instance has lost its links:
+/// then connections are refused whether the upstream has ended or not.
+async fn record_end<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    failure: &Failure,
+    shown_by: &'static str,
+) {
     let lifetime = failure.client.lifetime();
+    let has_report = shown_by == "new-process";
+    if !has_report && gateway.lost_links_since(failure.failed).await {
+        tracing::info!(
+            request = failure.request,
+            upstream = %lifetime.upstream,
+            shown_by,
+            "not taken as the end of an upstream: no upstream answers this instance"
+        );
+        return;
+    }
     let now_ms = gateway.now_ms();
     let evidence = Evidence::Unreachable;
     failure.client.ejection().on_evidence(evidence, now_ms);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,6 +10,8 @@
 use tokio::time::sleep;
 
 use super::calls::Call;
+use super::hand_over;
+use super::handed::AttemptHistory;
 use super::limited_choice::{self, Chosen};
 use super::outcome::{Outcome, Reason};
 use super::probing::{ProbedUpstream, describe, probe_candidates, take_best};
@@ -26,19 +28,27 @@
 /// Upstreams that a request may find gone, after their probes, before it is refused.
 const MAX_UNSENT: usize = 8;
 
-/// Earlier attempts to send a request.
-#[derive(Debug, Default)]
-struct AttemptHistory {
-    tried: Vec<Arc<str>>,
-    sends: usize,
-    may_have_run: bool,
+/// How one attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The caller gets this.
+    Final(Outcome),
+    /// It was sent; the caller gets this unless it is tried again.
+    Ended(Outcome),
+    /// It was not sent, and the caller gets this unless an earlier response is better.
+    Refused(Outcome),
+    /// The chosen upstream could not be used.
+    Unsent,
+    /// No upstream answers this instance, or no other instance takes the request.
+    NoContact,
 }
 
 /// Forwards a request and returns the final response.
 ///
 /// A request that may have run is sent again only if its route is idempotent.
 /// Retries stay within the route's attempts and the service's retry budget. A request
-/// under which upstreams ended runs only with a permit, and finally not at all.
+/// under which upstreams ended runs only with a permit, and finally not at all. While no
+/// upstream answers this instance, another one runs it.
 pub async fn forward<P: Platform>(gateway: &Arc<Gateway<P>>, call: &Call) -> Outcome {
     let Some(service) = gateway.pick_service(&call.route) else {
         return Outcome::refused(Reason::NoUpstream, call.left_ms() / 4);
@@ -46,49 +56,29 @@
     gateway.on_request(&service);
     let mut history = AttemptHistory::default();
     let mut last_response: Option<Outcome> = None;
+    let mut may_hand_over = true;
     loop {
-        let permit = match run_permit::acquire(gateway, call).await {
-            Ok(permit) => permit,
-            Err(denial) => return history.correct_refusal(denied(gateway, call, denial)),
-        };
-        let chosen = match choose_upstream(gateway, call, &service, &history).await {
-            Ok(chosen) => chosen,
-            Err(refusal) => {
+        let mut end = attempt(gateway, call, &service, &mut history, may_hand_over).await;
+        if matches!(end, AttemptEnd::NoContact) {
+            end = hand_over::attempt(gateway, call, &service, &mut history).await;
+        }
+        let outcome = match end {
+            AttemptEnd::Final(outcome) => return outcome,
+            AttemptEnd::Refused(refusal) => {
                 return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
             }
-        };
-        if !permit.is_valid(call) {
-            let unused = chosen.upstream;
-            unused.client.release(unused.connection);
-            continue;
-        }
-        let id = &chosen.upstream.upstream.report.id;
-        history.tried.push(Arc::clone(id));
-        let sent = send(gateway, call, chosen).await;
-        drop(permit);
-        let is_unsent = matches!(sent, SendOutcome::Unsent);
-        history.sends += usize::from(!is_unsent);
-        let outcome = match sent {
-            SendOutcome::Answered(response) => {
-                let is_final = !call.route.is_idempotent || !response.status.is_server_error();
-                if is_final {
-                    return Outcome::Answered(response);
-                }
-                history.may_have_run = true;
-                Outcome::Answered(response)
+            AttemptEnd::NoContact if gateway.contact.is_cut_off() => {
+                let refusal = hand_over::refuse(gateway, call, &service);
+                return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
             }
-            SendOutcome::Unsent | SendOutcome::NotRun => history.correct_refusal(Outcome::refused(
-                Reason::Refused,
-                retry_after_ms(gateway, call),
-            )),
-            SendOutcome::Failed(reason) => {
-                history.may_have_run = true;
-                Outcome::gateway_error(reason)
+            AttemptEnd::NoContact => {
+                may_hand_over = false;
+                continue;
             }
+            AttemptEnd::Unsent if has_unsent_left(&history) => continue,
+            AttemptEnd::Unsent => not_run(gateway, call, &history),
+            AttemptEnd::Ended(outcome) => outcome,
         };
-        if is_unsent && history.tried.len() - history.sends < MAX_UNSENT {
-            continue;
-        }
         let may_retry = call.route.is_idempotent || !history.may_have_run;
         if !may_retry || !take_retry(gateway, call, &service, &history) {
             return outcome;
@@ -98,30 +88,93 @@
     }
 }
 
-impl AttemptHistory {
-    /// Replaces a refusal, which tells the caller that the request did not run,
-    /// once an earlier attempt may have run it.
-    fn correct_refusal(&self, refusal: Outcome) -> Outcome {
-        if !self.may_have_run {
-            return refusal;
+/// Forwards a request that another instance has handed over, with one attempt: retries are
+/// its matter. `None` if no upstream answers this instance either, and nothing was sent.
+pub async fn forward_taken<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    call: &Call,
+    service: &Arc<str>,
+    history: &mut AttemptHistory,
+) -> Option<Outcome> {
+    loop {
+        match attempt(gateway, call, service, history, true).await {
+            AttemptEnd::Final(outcome)
+            | AttemptEnd::Ended(outcome)
+            | AttemptEnd::Refused(outcome) => return Some(outcome),
+            AttemptEnd::NoContact => return None,
+            AttemptEnd::Unsent if has_unsent_left(history) => {}
+            AttemptEnd::Unsent => return Some(not_run(gateway, call, history)),
         }
-        match refusal {
-            Outcome::GatewayError {
-                reason: Reason::LateUnsent,
-                ..
-            } => Outcome::gateway_error(Reason::Late),
-            Outcome::GatewayError {
-                reason: Reason::CrashesUpstreams,
-                retry_after,
-            } => Outcome::GatewayError {
-                reason: Reason::UpstreamFailed,
-                retry_after,
-            },
-            _ => Outcome::gateway_error(Reason::UpstreamFailed),
+    }
+}
+
+/// Makes one attempt to send a request to an upstream.
+///
+/// [`AttemptEnd::NoContact`] comes at once if this instance is cut off, and if no upstream
+/// answers its probes only if the request may be handed over.
+async fn attempt<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    call: &Call,
+    service: &Arc<str>,
+    history: &mut AttemptHistory,
+    may_hand_over: bool,
+) -> AttemptEnd {
+    if gateway.contact.is_cut_off() {
+        return AttemptEnd::NoContact;
+    }
+    let permit = match run_permit::acquire(gateway, call).await {
+        Ok(permit) => permit,
+        Err(denial) => {
+            return AttemptEnd::Final(history.correct_refusal(denied(gateway, call, denial)));
+        }
+    };
+    let choice = choose_upstream(gateway, call, service, &history.tried, may_hand_over);
+    let choice = tokio::select! {
+        biased;
+        choice = choice => choice,
+        () = gateway.contact.cut_off() => return AttemptEnd::NoContact,
+    };
+    let chosen = match choice {
+        Ok(chosen) => chosen,
+        Err(end) => return end,
+    };
+    if !permit.is_valid(call) {
+        let unused = chosen.upstream;
+        unused.client.release(unused.connection);
+        return AttemptEnd::Unsent;
+    }
+    let id = &chosen.upstream.upstream.report.id;
+    history.tried.push(Arc::clone(id));
+    let sent = send(gateway, call, chosen).await;
+    drop(permit);
+    history.sends += usize::from(!matches!(sent, SendOutcome::Unsent));
+    match sent {
+        SendOutcome::Answered(response) => {
+            let is_final = !call.route.is_idempotent || !response.status.is_server_error();
+            if is_final {
+                return AttemptEnd::Final(Outcome::Answered(response));
+            }
+            history.may_have_run = true;
+            AttemptEnd::Ended(Outcome::Answered(response))
+        }
+        SendOutcome::Unsent => AttemptEnd::Unsent,
+        SendOutcome::NotRun => AttemptEnd::Ended(not_run(gateway, call, history)),
+        SendOutcome::Failed(reason) => {
+            history.may_have_run = true;
+            AttemptEnd::Ended(Outcome::gateway_error(reason))
         }
     }
 }
 
+fn has_unsent_left(history: &AttemptHistory) -> bool {
+    history.tried.len().saturating_sub(history.sends) < MAX_UNSENT
+}
+
+fn not_run<P: Platform>(gateway: &Gateway<P>, call: &Call, history: &AttemptHistory) -> Outcome {
+    let refusal = Outcome::refused(Reason::Refused, retry_after_ms(gateway, call));
+    history.correct_refusal(refusal)
+}
+
 fn denied<P: Platform>(gateway: &Gateway<P>, call: &Call, denial: Denial) -> Outcome {
     match denial {
         Denial::Stopped { left_ms } => Outcome::refused(Reason::CrashesUpstreams, left_ms),
@@ -158,22 +211,28 @@
 /// returns the best.
 ///
 /// # Errors
-/// Returns a refusal if no upstream has room in time.
+/// Returns a refusal if no upstream has room in time, or that none answers at all.
 async fn choose_upstream<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    history: &AttemptHistory,
-) -> Result<Chosen<P>, Outcome> {
+    tried: &[Arc<str>],
+    may_hand_over: bool,
+) -> Result<Chosen<P>, AttemptEnd> {
+    let began_ms = gateway.now_ms();
     loop {
         if call.left_ms() == 0 {
-            return Err(Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS));
+            let refusal = Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS);
+            return Err(AttemptEnd::Refused(refusal));
         }
-        let tried = &history.tried;
         if let Some(chosen) = limited_choice::choose(gateway, call, service, tried, false).await {
             return Ok(chosen);
         }
-        let (mut probed, candidates) = probe_candidates(gateway, call, service, tried).await;
+        let (mut probed, candidates) =
+            probe_candidates(gateway, call, service, tried, may_hand_over).await;
+        if may_hand_over && probed.is_empty() && has_no_contact(gateway, service, began_ms) {
+            return Err(AttemptEnd::NoContact);
+        }
         let best = take_best(gateway, service, &mut probed);
         for other in probed {
             other.client.release(other.connection);
@@ -198,7 +257,7 @@
         if candidates == 0
             && let Some(refusal) = limited_choice::refuse(gateway, call, service, tried)
         {
-            return Err(refusal);
+            return Err(AttemptEnd::Refused(refusal));
         }
         match (admission, best) {
             (Admission::Send, Some(upstream)) => {
@@ -224,7 +283,8 @@
                 } else {
                     Reason::NoRoom
                 };
-                return Err(Outcome::refused(reason, retry_after_ms));
+                let refusal = Outcome::refused(reason, retry_after_ms);
+                return Err(AttemptEnd::Refused(refusal));
             }
             (_, best) => {
                 if let Some(best) = best {
@@ -236,6 +296,15 @@
     }
 }
 
+/// Whether all upstreams that were tried since `began_ms` failed or stayed silent.
+fn has_no_contact<P: Platform>(gateway: &Gateway<P>, service: &str, began_ms: u64) -> bool {
+    let is_silent = {
+        let contact = gateway.contact.decision();
+        contact.has_failures() && !contact.has_answered_since(began_ms)
+    };
+    is_silent && !gateway.eligible_upstreams(service).is_empty()
+}
+
 fn log_refusal<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
--- a/src/gateway/limited_choice.rs
+++ b/src/gateway/limited_choice.rs
@@ -9,6 +9,7 @@
 
 use rand::RngExt;
 use rand::seq::SliceRandom;
+use tokio::time::Instant;
 
 use super::calls::Call;
 use super::outcome::{Outcome, Reason};
@@ -291,13 +292,14 @@
     } else {
         None
     };
+    let began = Instant::now();
     let connection = match idle {
         Some(connection) => connection,
         None => match client.open(&gateway.metrics).await {
             Ok(connection) => connection,
             Err(error) => {
                 let evidence = evidence_of(&error);
-                client.ejection().on_evidence(evidence, gateway.now_ms());
+                gateway.on_upstream_failure(client, evidence, began);
                 if gateway.log_budget.take() {
                     tracing::info!(
                         request = call.id_text(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -45,6 +45,11 @@
     requests: EndCounters,
     sends: EndCounters,
     send_permits: EndCounters,
+    handed: EndCounters,
+    /// 1 while no upstream answers this instance, otherwise 0.
+    pub cut_off: Gauge<u64, AtomicU64>,
+    /// Requests of other instances that run here.
+    pub taken: Gauge<u64, AtomicU64>,
     /// Upstreams whose permits this instance gives out.
     pub issued_limits: Gauge<u64, AtomicU64>,
     /// Sends beyond the first one of a request.
@@ -90,6 +95,9 @@
             requests: EndCounters::default(),
             sends: EndCounters::default(),
             send_permits: EndCounters::default(),
+            handed: EndCounters::default(),
+            cut_off: Gauge::default(),
+            taken: Gauge::default(),
             issued_limits: Gauge::default(),
             retries: Counter::default(),
             probes: Counter::default(),
@@ -137,6 +145,12 @@
             "Permits asked for by how that ended",
             permits,
         );
+        let handed = self.handed.clone();
+        registry.register("handed", "Requests handed over by how that ended", handed);
+        let cut_off = self.cut_off.clone();
+        registry.register("cut_off", "Whether no upstream answers", cut_off);
+        let taken = self.taken.clone();
+        registry.register("taken", "Requests of other instances that run here", taken);
         let issued = self.issued_limits.clone();
         registry.register(
             "issued_limits",
@@ -183,6 +197,11 @@
         count(&self.send_permits, end);
     }
 
+    /// Counts a request that was handed to another instance by its outcome.
+    pub fn on_handed(&self, end: &'static str) {
+        count(&self.handed, end);
+    }
+
     /// Counts a call to the store as answered or failed.
     pub fn on_store_call(&self, is_answered: bool) {
         count(
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -6,6 +6,7 @@
 use http::header::{CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
+use serde::{Deserialize, Serialize};
 
 use crate::connection::exchange::HttpResponse;
 
@@ -13,7 +14,18 @@
 ///
 /// The variant's name in kebab case is the body of the response, and its label in
 /// the log and the metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reason {
     /// No version of the routes is known yet, or not which requests are stopped.
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -7,8 +7,9 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
+use super::handed::{HandedAnswer, HandedRequest, Offer};
 use super::relay::{PermitResponse, RelayClient, STREAMS, StreamPosition};
 use super::send_permit::{PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
@@ -34,6 +35,20 @@
     Timeout,
 }
 
+/// Why a request that was handed to a peer has no answer.
+#[derive(Debug, Error)]
+pub enum HandError {
+    /// It was not sent.
+    #[error("not sent: {0}")]
+    NotSent(RelayError),
+    /// It was sent, and the connection failed; it may have run.
+    #[error("no answer: {0}")]
+    Lost(client::RpcError),
+    /// It was sent, and no answer came in time; it may have run.
+    #[error("timed out")]
+    Timeout,
+}
+
 /// A connection to another instance for [`Relay`] calls.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -180,6 +195,37 @@
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
+    /// Asks the peer whether it takes requests.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn offer(&self) -> Result<Offer, RelayError> {
+        let request = self.client.offer(context::current());
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
+    /// Has the peer run a request; dropping the call cancels it there.
+    ///
+    /// # Errors
+    /// Returns whether the request was sent if there is no answer before the deadline.
+    pub async fn run_handed(
+        &self,
+        request: HandedRequest,
+        deadline: Instant,
+    ) -> Result<HandedAnswer, HandError> {
+        let mut context = context::current();
+        context.deadline = (deadline + RESPONSE_TIMEOUT).into_std();
+        let call = self.client.run_handed(context, request);
+        match timeout_at(deadline, call).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error @ client::RpcError::Send(_))) => {
+                Err(HandError::NotSent(RelayError::Call(error)))
+            }
+            Ok(Err(error)) => Err(HandError::Lost(error)),
+            Err(_) => Err(HandError::Timeout),
+        }
+    }
+
     /// Gives a permit back.
     ///
     /// # Errors
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -62,6 +62,25 @@
         Ok(response)
     }
 
+    /// A kept connection to another instance, or a new one that is kept.
+    ///
+    /// # Errors
+    /// Returns an error if none can be opened within `limit`.
+    pub async fn connected(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<PeerClient, RelayError> {
+        if let Some(client) = self.clients().get(&address) {
+            return Ok(client.clone());
+        }
+        let client = timeout(limit, PeerClient::connect(address))
+            .await
+            .unwrap_or(Err(RelayError::Timeout))?;
+        self.clients().insert(address, client.clone());
+        Ok(client)
+    }
+
     /// Closes kept connections to instances that are not registered any more.
     pub fn retain(&self, is_registered: impl Fn(&SocketAddr) -> bool) {
         self.clients().retain(|address, _| is_registered(address));
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -1,11 +1,12 @@
 //! Probes the load of upstreams just before a request is sent.
 
 use std::fmt::Write as _;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::calls::{Call, to_ms};
 use super::rate_limits::AnswerKind;
@@ -17,6 +18,7 @@
 use crate::decision::selection::{
     Candidate, Locality, PROBES_PER_ROUND, Reading, can_stop_probing, cost, probe_order,
 };
+use crate::decision::upstream_contact::SILENCE_MS;
 
 /// Wait for further readings after the first one.
 const FURTHER_READINGS_WAIT: Duration = Duration::from_millis(10);
@@ -25,6 +27,9 @@
 const ROUND_WAIT: Duration = Duration::from_millis(15);
 /// Wait for a first reading in the last round.
 const LAST_ROUND_WAIT: Duration = Duration::from_millis(300);
+/// The same if no upstream at all has answered since the first probe, and another
+/// instance may take the request.
+const SILENT_ROUND_WAIT: Duration = Duration::from_millis(SILENCE_MS);
 /// Cost factor of a cold upstream, which works at half its usual speed.
 const COLD_COST_FACTOR: f64 = 2.0;
 
@@ -80,6 +85,7 @@
     call: &Call,
     service: &Arc<str>,
     tried: &[Arc<str>],
+    may_hand_over: bool,
 ) -> (Vec<ProbedUpstream>, usize) {
     let now_ms = gateway.now_ms();
     let mut usable = Vec::new();
@@ -130,8 +136,16 @@
             pending.spawn(task);
         }
         let is_last = remaining.is_empty() || round + 1 == PROBES_PER_ROUND.len();
-        let wait = if is_last { LAST_ROUND_WAIT } else { ROUND_WAIT };
+        let is_silent = || !gateway.contact.decision().has_answered_since(now_ms);
+        let wait = match is_last {
+            false => ROUND_WAIT,
+            true if may_hand_over && is_silent() => SILENT_ROUND_WAIT,
+            true => LAST_ROUND_WAIT,
+        };
         pending.collect(wait).await;
+        if wait == SILENT_ROUND_WAIT && !is_silent() {
+            pending.collect(LAST_ROUND_WAIT - SILENT_ROUND_WAIT).await;
+        }
     }
     (pending.finish(), candidates.len())
 }
@@ -217,9 +231,8 @@
     health_path: Arc<str>,
     locality: Locality,
 ) -> Option<ProbedUpstream> {
-    let names = gateway.platform.headers();
     let sent_at = Instant::now();
-    let probed = client.probe(names, &health_path, &gateway.metrics).await;
+    let probed = probe_noting_silence(&gateway, &client, &health_path).await;
     let ProbeResponse {
         connection,
         reading,
@@ -227,10 +240,11 @@
     } = match probed {
         Ok(probed) => probed,
         Err(error) => {
-            on_failed_probe(&gateway, &client, &error);
+            on_failed_probe(&gateway, &client, &error, sent_at);
             return None;
         }
     };
+    gateway.on_upstream_answer(&client.id);
     gateway.on_named_limit(&client, named_limit, sent_at, AnswerKind::Probe);
     let is_local = upstream.report.data_centre == gateway.settings().data_centre;
     let is_cold = reading.cold_left_ms > 0;
@@ -249,10 +263,31 @@
     })
 }
 
-fn on_failed_probe<P: Platform>(gateway: &Gateway<P>, client: &UpstreamClient, error: &ProbeError) {
+/// Probes an upstream, and records it if no answer comes within [`SILENCE_MS`].
+async fn probe_noting_silence<P: Platform>(
+    gateway: &Gateway<P>,
+    client: &UpstreamClient,
+    health_path: &str,
+) -> Result<ProbeResponse, ProbeError> {
+    let names = gateway.platform.headers();
+    let mut probe = pin!(client.probe(names, health_path, &gateway.metrics));
+    let silence = Duration::from_millis(SILENCE_MS);
+    if let Ok(probed) = timeout(silence, &mut probe).await {
+        return probed;
+    }
+    gateway.on_upstream_silent(client);
+    probe.await
+}
+
+fn on_failed_probe<P: Platform>(
+    gateway: &Gateway<P>,
+    client: &UpstreamClient,
+    error: &ProbeError,
+    sent_at: Instant,
+) {
     gateway.metrics.probes_failed.inc();
     let evidence = evidence_of(error);
-    let is_ejected = client.ejection().on_evidence(evidence, gateway.now_ms());
+    let is_ejected = gateway.on_upstream_failure(client, evidence, sent_at);
     if is_ejected {
         gateway.metrics.ejections.inc();
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,10 +17,12 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::time::{Instant, timeout_at};
 
+use super::handed::{HandedAnswer, HandedRequest, Offer};
 use super::peer_client::PeerClient;
 use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
+use super::taken;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
 
@@ -119,6 +121,12 @@
 
     /// Gives a permit back, with what the run has shown.
     async fn release_run(scope: Scope, token: u64, report: Option<SuspectReport>);
+
+    /// Asks whether this instance takes requests that the requester cannot serve.
+    async fn offer() -> Offer;
+
+    /// Runs a request for the requester, whose links to upstreams are lost.
+    async fn run_handed(request: HandedRequest) -> HandedAnswer;
 }
 
 struct Server<P> {
@@ -215,6 +223,14 @@
         gateway.merge_suspects(report.as_slice(), "another instance");
         gateway.suspects.permits().release(scope, token);
     }
+
+    async fn offer(self, _: context::Context) -> Offer {
+        taken::offer(&self.gateway)
+    }
+
+    async fn run_handed(self, _: context::Context, request: HandedRequest) -> HandedAnswer {
+        taken::run(&self.gateway, request).await
+    }
 }
 
 impl RecordsResponse {
@@ -288,7 +304,7 @@
             };
             let responses = BaseChannel::with_defaults(transport)
                 .execute(server.serve())
-                .for_each(|response| response);
+                .for_each_concurrent(None, |response| response);
             tokio::spawn(responses);
         }
     });
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,9 @@
 use super::state::Gateway;
 use super::store::{Platform, Stream};
 use super::supervisor::keep_running;
-use super::{follower, limit_exchange, lost_records, reader_role, relay, suspect_records};
+use super::{
+    follower, limit_exchange, lost_records, reader_role, relay, suspect_records, upstream_contact,
+};
 use crate::process::run::RunError;
 
 /// Time for which a stopping instance still accepts connections: the balancer
@@ -122,6 +124,7 @@
     spawn(gateway, "check-long-polls", follower::check_long_polls);
     spawn(gateway, "register", follower::register_instance);
     spawn(gateway, "stored-suspects", suspect_records::keep_stored);
+    spawn(gateway, "upstream-contact", upstream_contact::run);
     spawn(gateway, "limits", limit_exchange::run);
     spawn(gateway, "lost-records", lost_records::rewrite);
     spawn(gateway, "expiry", remove_expired);
@@ -231,6 +234,9 @@
         // Connections that are still to be accepted do not count yet.
         sleep(MAX_BACKLOG_TIME).await;
         let mut idle_since = Instant::now();
+        while gateway.taken.running() > 0 {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
         while callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME {
             sleep(DRAIN_POLL_INTERVAL).await;
             if callers.in_flight() > 0 {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -84,6 +84,7 @@
             "request sent"
         );
     }
+    let began = Instant::now();
     client.ejection().on_send();
     let mut guard = AbandonGuard {
         client: &client,
@@ -101,7 +102,11 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.is_finished = true;
-            record_evidence(gateway, call, &client, evidence_of(&error), &error);
+            let end = AttemptFailure {
+                evidence: evidence_of(&error),
+                began,
+            };
+            record_failure(gateway, call, &client, end, &error);
             return SendOutcome::Unsent;
         }
     };
@@ -137,7 +142,7 @@
             sent
         }
         Some(Err(error)) => {
-            on_exchange_error(gateway, call, &client, &error);
+            on_exchange_error(gateway, call, &client, &error, sent_at);
             crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
@@ -161,7 +166,15 @@
     let id_header = Some(&gateway.platform.headers().request_id);
     let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
     tokio::pin!(exchange);
-    let mut result = timeout_at(deadline, &mut exchange).await;
+    let mut result = if call.route.is_idempotent {
+        tokio::select! {
+            result = timeout_at(deadline, &mut exchange) => result,
+            // No answer can come any more; another instance may run the request in time.
+            () = gateway.contact.cut_off() => return None,
+        }
+    } else {
+        timeout_at(deadline, &mut exchange).await
+    };
     if result.is_err() && gateway.is_stopping() {
         // The upstream is at work, and a retry may find no room before the process ends.
         result = timeout_at(call.deadline, &mut exchange).await;
@@ -169,7 +182,9 @@
     result.ok()
 }
 
-fn attempt_deadline(call: &Call, expected_ms: f64, sent_at: Instant) -> Instant {
+/// When an attempt that began at `sent_at` times out.
+#[must_use]
+pub fn attempt_deadline(call: &Call, expected_ms: f64, sent_at: Instant) -> Instant {
     if !call.route.is_idempotent {
         return call.deadline;
     }
@@ -241,7 +256,16 @@
     } else {
         (Evidence::Served, SendOutcome::Answered(response))
     };
-    record_evidence(gateway, call, client, evidence, &format_args!("answered"));
+    let is_ejected = client.ejection().on_evidence(evidence, gateway.now_ms());
+    gateway.on_upstream_answer(&client.id);
+    record_evidence(
+        gateway,
+        call,
+        client,
+        evidence,
+        is_ejected,
+        &format_args!("answered"),
+    );
     sent
 }
 
@@ -250,8 +274,13 @@
     call: &Call,
     client: &UpstreamClient,
     error: &ExchangeError,
+    began: Instant,
 ) {
-    record_evidence(gateway, call, client, Evidence::Failed, error);
+    let end = AttemptFailure {
+        evidence: Evidence::Failed,
+        began,
+    };
+    record_failure(gateway, call, client, end, error);
 }
 
 fn on_timeout<P: Platform>(
@@ -262,19 +291,40 @@
 ) {
     let silent_ms = to_ms(sent_at.elapsed());
     let what = format_args!("no response for {silent_ms} ms").to_string();
-    record_evidence(gateway, call, client, Evidence::Failed, &what);
+    let end = AttemptFailure {
+        evidence: Evidence::Failed,
+        began: sent_at,
+    };
+    record_failure(gateway, call, client, end, &what);
+}
+
+/// An attempt without an answer.
+struct AttemptFailure {
+    evidence: Evidence,
+    began: Instant,
 }
 
-/// Records the end of an attempt in the upstream's ejection state, the metrics and
-/// the log.
+fn record_failure<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    client: &UpstreamClient,
+    failure: AttemptFailure,
+    what: &dyn std::fmt::Display,
+) {
+    let AttemptFailure { evidence, began } = failure;
+    let is_ejected = gateway.on_upstream_failure(client, evidence, began);
+    record_evidence(gateway, call, client, evidence, is_ejected, what);
+}
+
+/// Records the end of an attempt in the metrics and the log.
 fn record_evidence<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
     client: &UpstreamClient,
     evidence: Evidence,
+    is_ejected: bool,
     what: &dyn std::fmt::Display,
 ) {
-    let is_ejected = client.ejection().on_evidence(evidence, gateway.now_ms());
     if is_ejected {
         gateway.metrics.ejections.inc();
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::calls::{BodyMemory, to_ms};
+use super::hand_over::HandOverState;
 use super::logging::LogBudget;
 use super::metrics::Metrics;
 use super::peers::Peers;
@@ -16,7 +17,9 @@
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
 use super::suspects::SuspectState;
+use super::taken::TakenState;
 use super::upstream_client::UpstreamClients;
+use super::upstream_contact::ContactState;
 use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
@@ -85,6 +88,12 @@
     pub peers: Peers,
     /// Rates that upstreams take from the whole fleet.
     pub limits: LimitState,
+    /// Whether any upstream answers this instance.
+    pub contact: ContactState,
+    /// Offers of other instances to take requests.
+    pub hand_over: HandOverState,
+    /// Requests that this instance runs for others.
+    pub taken: TakenState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -126,6 +135,9 @@
             suspects: SuspectState::default(),
             peers: Peers::default(),
             limits: LimitState::default(),
+            contact: ContactState::default(),
+            hand_over: HandOverState::default(),
+            taken: TakenState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
--- /dev/null
+++ b/src/gateway/taken.rs
@@ -0,0 +1,172 @@
+//! Runs requests that other instances hand over.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method};
+use tokio::time::Instant;
+
+use super::calls::{BodyReservation, Call};
+use super::forward::forward_taken;
+use super::handed::{HandedAnswer, HandedEnd, HandedRequest, Offer, decode_headers};
+use super::state::Gateway;
+use super::store::Platform;
+
+/// Requests of other instances that run at a time: those of 12 instances whose routes
+/// take a second, at 20 requests a second each.
+const MAX_TAKEN: usize = 256;
+/// Retry delay for requests beyond that, in milliseconds.
+const FULL_RETRY_AFTER_MS: u64 = 250;
+/// Longest time from sending to receiving a request, in milliseconds, beyond which this
+/// instance stood still or its links to the sender are slow.
+const MAX_TRANSIT_MS: u64 = 250;
+/// Age of the last answer beyond which an offer makes this instance check its links.
+const CHECK_AFTER_MS: u64 = 300;
+
+/// Counts the requests that this instance runs for others.
+#[derive(Debug, Default)]
+pub struct TakenState {
+    running: AtomicUsize,
+}
+
+impl TakenState {
+    /// Requests that this instance runs for others.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a taken request until it is dropped.
+struct TakenGuard<'g, P>(&'g Gateway<P>);
+
+impl<'g, P> TakenGuard<'g, P> {
+    fn begin(gateway: &'g Gateway<P>) -> (Self, usize) {
+        let before = gateway.taken.running.fetch_add(1, Ordering::Relaxed);
+        gateway.metrics.taken.inc();
+        (Self(gateway), before)
+    }
+}
+
+impl<P> Drop for TakenGuard<'_, P> {
+    fn drop(&mut self) {
+        self.0.taken.running.fetch_sub(1, Ordering::Relaxed);
+        self.0.metrics.taken.dec();
+    }
+}
+
+/// Tells another instance whether this one takes its requests.
+pub fn offer<P: Platform>(gateway: &Gateway<P>) -> Offer {
+    let now_ms = gateway.now_ms();
+    let no_answer_ms = gateway.contact.decision().no_answer_ms(now_ms);
+    let is_cut_off = gateway.contact.is_cut_off();
+    if !is_cut_off && no_answer_ms.is_none_or(|age| age > CHECK_AFTER_MS) {
+        gateway.contact.check();
+    }
+    let running = gateway.taken.running();
+    Offer {
+        is_willing: !is_cut_off && gateway.is_ready() && running < MAX_TAKEN,
+        no_answer_ms,
+        taken: u32::try_from(running).unwrap_or(u32::MAX),
+        now_ms,
+        willing: if is_cut_off {
+            gateway.hand_over.willing()
+        } else {
+            Vec::new()
+        },
+    }
+}
+
+/// Runs a request of another instance; it is never handed on.
+pub async fn run<P: Platform>(gateway: &Arc<Gateway<P>>, handed: HandedRequest) -> HandedAnswer {
+    let (_guard, running) = TakenGuard::begin(gateway);
+    if running >= MAX_TAKEN {
+        return not_taken("too many requests of other instances", FULL_RETRY_AFTER_MS);
+    }
+    let now_ms = gateway.now_ms();
+    if now_ms.abs_diff(handed.sent_ms) > MAX_TRANSIT_MS {
+        return not_taken("it stood still, or its offer is of an earlier process", 1);
+    }
+    if gateway.is_stopping() || gateway.contact.is_cut_off() {
+        return not_taken("it stops, or is cut off too", 1);
+    }
+    let transit_ms = now_ms.saturating_sub(handed.sent_ms);
+    let service = Arc::clone(&handed.service);
+    let mut history = handed.history.clone();
+    let call = match read(gateway, handed, transit_ms) {
+        Ok(call) => call,
+        Err(answer) => return answer,
+    };
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            route = %call.route.name,
+            version = call.version,
+            service = %service,
+            transit_ms,
+            held_ms = call.held_ms(),
+            left_ms = call.left_ms(),
+            sends = history.sends,
+            running,
+            "request taken from another instance"
+        );
+    }
+    let Some(outcome) = forward_taken(gateway, &call, &service, &mut history).await else {
+        return not_taken("no upstream answers it either", 1);
+    };
+    HandedAnswer::Ended {
+        end: HandedEnd::from_outcome(outcome),
+        history,
+    }
+}
+
+fn not_taken(why: &str, retry_after_ms: u64) -> HandedAnswer {
+    HandedAnswer::NotTaken {
+        why: why.to_owned(),
+        retry_after_ms,
+    }
+}
+
+/// Finds the request's route in the version that this instance knows.
+fn read<P: Platform>(
+    gateway: &Gateway<P>,
+    handed: HandedRequest,
+    transit_ms: u64,
+) -> Result<Call, HandedAnswer> {
+    let Some(manifest) = gateway.manifest().filter(|_| gateway.knows_fleet_state()) else {
+        return Err(not_taken("no version of the routes is known", 1));
+    };
+    let path = handed.target.split('?').next().unwrap_or_default();
+    let route = manifest.route(&handed.host, path);
+    let Some(route) = route.filter(|route| {
+        let mut targets = route.targets.iter();
+        targets.any(|target| target.service == handed.service)
+    }) else {
+        return Err(not_taken("its version has no such route", 1));
+    };
+    let Ok(method) = Method::from_bytes(handed.method.as_bytes()) else {
+        return Err(not_taken("the method is invalid", 1));
+    };
+    let mut reservation = BodyReservation::new(&gateway.body_memory);
+    if !reservation.grow(handed.body.len()) {
+        return Err(not_taken("no memory for the body", FULL_RETRY_AFTER_MS));
+    }
+    let now = Instant::now();
+    let held = Duration::from_millis(handed.held_ms + transit_ms);
+    let left = Duration::from_millis(handed.left_ms.saturating_sub(transit_ms));
+    Ok(Call {
+        id: handed.id.and_then(|id| HeaderValue::from_bytes(&id).ok()),
+        method,
+        headers: decode_headers(&handed.headers),
+        body: Bytes::from(handed.body),
+        reservation,
+        route: Arc::clone(route),
+        version: manifest.version,
+        arrived: now.checked_sub(held).unwrap_or(now),
+        deadline: now + left,
+        fingerprint: OnceLock::new(),
+        target: handed.target,
+    })
+}
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -101,6 +101,9 @@
     idle_connections: Mutex<Vec<Connection>>,
     max_idle: AtomicUsize,
     ejection: Mutex<EjectionState>,
+    /// The ejection state before the failures since an answer, and the number of answers
+    /// until then.
+    before_failures: Mutex<Option<(u64, EjectionState)>>,
 }
 
 impl UpstreamClient {
@@ -112,6 +115,7 @@
             idle_connections: Mutex::default(),
             max_idle: AtomicUsize::new(MAX_IDLE_CONNECTIONS),
             ejection: Mutex::default(),
+            before_failures: Mutex::default(),
         }
     }
 
@@ -125,6 +129,31 @@
         self.ejection.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Remembers the ejection state before the first failure since the last answer of any
+    /// upstream, which is the `answers`th one.
+    pub fn remember_ejection(&self, answers: u64) {
+        let mut before = self.lock_before_failures();
+        if before.as_ref().is_none_or(|(at, _)| *at != answers) {
+            *before = Some((answers, self.ejection().clone()));
+        }
+    }
+
+    /// Forgets the failures since the last answer of any upstream.
+    fn restore_ejection(&self, answers: u64) {
+        if let Some((at, mut state)) = self.lock_before_failures().take()
+            && at == answers
+        {
+            state.on_abandoned();
+            *self.ejection() = state;
+        }
+    }
+
+    fn lock_before_failures(&self) -> MutexGuard<'_, Option<(u64, EjectionState)>> {
+        self.before_failures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_idle(&self) -> MutexGuard<'_, Vec<Connection>> {
         self.idle_connections
             .lock()
@@ -254,24 +283,38 @@
         health_path: &str,
         metrics: &Metrics,
     ) -> Result<ProbeResponse, ProbeError> {
-        let probe = self.probe_once(names, health_path, metrics);
+        let probe = self.probe_once(names, health_path, metrics, true);
         match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
             Ok(probed) => probed,
             Err(_) => Err(ProbeError::Timeout),
         }
     }
 
+    /// Like [`UpstreamClient::probe`], on a new connection and without a timeout.
+    ///
+    /// # Errors
+    /// As [`UpstreamClient::probe`].
+    pub async fn probe_on_new(
+        &self,
+        names: &HeaderNames,
+        health_path: &str,
+        metrics: &Metrics,
+    ) -> Result<ProbeResponse, ProbeError> {
+        self.probe_once(names, health_path, metrics, false).await
+    }
+
     async fn probe_once(
         &self,
         names: &HeaderNames,
         health_path: &str,
         metrics: &Metrics,
+        may_reuse: bool,
     ) -> Result<ProbeResponse, ProbeError> {
         metrics.probes.inc();
         let request = self.probe_request(names, health_path);
         let id_header = Some(&names.request_id);
         let memory = ResponseMemory::new(PROBE_MEMORY_BYTES);
-        if let Some(mut connection) = self.take_idle() {
+        if may_reuse && let Some(mut connection) = self.take_idle() {
             // The upstream may have dropped an idle connection; then all idle ones
             // are closed, and the probe is sent on a new one.
             let exchange = connection.probe_within(&request, id_header, &memory);
@@ -439,6 +482,21 @@
         });
     }
 
+    /// Forgets the failures of all upstreams since the last answer of any of them, which
+    /// is the `answers`th one.
+    pub fn restore_ejections(&self, answers: u64) {
+        for client in self.by_id().values() {
+            client.restore_ejection(answers);
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        for client in self.by_id().values() {
+            client.lock_idle().clear();
+        }
+    }
+
     fn by_id(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<UpstreamClient>>> {
         self.by_id.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -17,7 +17,7 @@
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
 use chicorywing::gateway::{
-    follower, limit_exchange, lost_records, reader_role, relay, suspect_records,
+    follower, limit_exchange, lost_records, reader_role, relay, suspect_records, upstream_contact,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
@@ -483,6 +483,7 @@
     tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
     tokio::spawn(reader_role::run(Arc::clone(&gateway)));
     tokio::spawn(limit_exchange::run(Arc::clone(&gateway)));
+    tokio::spawn(upstream_contact::run(Arc::clone(&gateway)));
     tokio::spawn(lost_records::rewrite(Arc::clone(&gateway)));
     tokio::spawn(suspect_records::keep_stored(gateway));
 }
--- a/tests/upstream_contact.rs
+++ b/tests/upstream_contact.rs
@@ -40,7 +40,10 @@
         contact.on_failure(&Arc::from("up-0"));
     }
 
-    expect_that!(contact.try_begin(START_MS, KNOWN, START_MS + 10_000), none());
+    expect_that!(
+        contact.try_begin(START_MS, KNOWN, START_MS + 10_000),
+        none()
+    );
     expect_that!(contact.try_begin(START_MS, 1, START_MS + 10_000), none());
 }
 
@@ -49,7 +52,10 @@
     let mut contact = failed(20);
     contact.on_answer(START_MS + 1);
 
-    expect_that!(contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS), none());
+    expect_that!(
+        contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS),
+        none()
+    );
     expect_that!(contact.is_suspected(KNOWN), eq(false));
 }
 
@@ -57,7 +63,10 @@
 fn it_begins_only_after_the_check_had_time_for_an_answer() {
     let mut contact = failed(20);
 
-    expect_that!(contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS - 1), none());
+    expect_that!(
+        contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS - 1),
+        none()
+    );
 }
 
 #[gtest]
@@ -77,6 +86,12 @@
 fn two_failed_upstreams_suffice_where_only_two_are_known() {
     let mut contact = failed(2);
 
-    expect_that!(contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS), none());
-    expect_that!(contact.try_begin(START_MS, 2, START_MS + SILENCE_MS), some(anything()));
+    expect_that!(
+        contact.try_begin(START_MS, KNOWN, START_MS + SILENCE_MS),
+        none()
+    );
+    expect_that!(
+        contact.try_begin(START_MS, 2, START_MS + SILENCE_MS),
+        some(anything())
+    );
 }
