Offer only after an answer of an upstream; check limited ones by a connection

Cause: instances that were cut too, and did not know it yet, offered to take requests; a service whose upstreams are all limited could not end the belief. Change: an offer needs an answer in the last 150 ms, or to a probe made for it; where only limited or cold upstreams are known, an accepted connection counts as contact.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -225,7 +225,7 @@
     }
 
     async fn offer(self, _: context::Context) -> Offer {
-        taken::offer(&self.gateway)
+        taken::offer(&self.gateway).await
     }
 
     async fn run_handed(self, _: context::Context, request: HandedRequest) -> HandedAnswer {
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -22,8 +22,11 @@
 /// Longest time from sending to receiving a request, in milliseconds, beyond which this
 /// instance stood still or its links to the sender are slow.
 const MAX_TRANSIT_MS: u64 = 250;
-/// Age of the last answer beyond which an offer makes this instance check its links.
-const CHECK_AFTER_MS: u64 = 300;
+/// Age of the last answer beyond which this instance checks its links before an offer; a
+/// cut that is younger shows when the request comes.
+const CHECK_AFTER_MS: u64 = 150;
+/// Time for that check, well within the time for an offer.
+const CHECK_WAIT: Duration = Duration::from_millis(60);
 
 /// Counts the requests that this instance runs for others.
 #[derive(Debug, Default)]
@@ -58,16 +61,18 @@
 }
 
 /// Tells another instance whether this one takes its requests.
-pub fn offer<P: Platform>(gateway: &Gateway<P>) -> Offer {
+pub async fn offer<P: Platform>(gateway: &Gateway<P>) -> Offer {
+    let asked_ms = gateway.now_ms();
+    let has_answer = gateway
+        .contact
+        .has_answer_since(asked_ms.saturating_sub(CHECK_AFTER_MS), CHECK_WAIT)
+        .await;
+    let is_cut_off = gateway.contact.is_cut_off();
     let now_ms = gateway.now_ms();
     let no_answer_ms = gateway.contact.decision().no_answer_ms(now_ms);
-    let is_cut_off = gateway.contact.is_cut_off();
-    if !is_cut_off && no_answer_ms.is_none_or(|age| age > CHECK_AFTER_MS) {
-        gateway.contact.check();
-    }
     let running = gateway.taken.running();
     Offer {
-        is_willing: !is_cut_off && gateway.is_ready() && running < MAX_TAKEN,
+        is_willing: has_answer && gateway.is_ready() && running < MAX_TAKEN,
         no_answer_ms,
         taken: u32::try_from(running).unwrap_or(u32::MAX),
         now_ms,
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -14,7 +14,7 @@
 use super::rate_limits::AnswerKind;
 use super::state::Gateway;
 use super::store::Platform;
-use super::upstream_client::{UpstreamClient, evidence_of};
+use super::upstream_client::{ListenState, UpstreamClient, evidence_of};
 use crate::decision::directory::Upstream;
 use crate::decision::ejection::Evidence;
 use crate::decision::upstream_contact::{ContactEvidence, SILENCE_MS, UpstreamContact};
@@ -30,6 +30,9 @@
 /// Time in which a check answers whether the links work.
 const CHECK_WAIT: Duration = Duration::from_millis(SILENCE_MS + 20);
 
+/// Wait for the result of a check that another attempt began just before.
+const VERDICT_WAIT: Duration = Duration::from_millis(2 * SILENCE_MS);
+
 /// What this instance knows of its links to upstreams.
 #[derive(Debug)]
 pub struct ContactState {
@@ -71,6 +74,28 @@
         let _ = is_cut_off.wait_for(|is_cut_off| *is_cut_off).await;
     }
 
+    /// Whether an upstream has answered at `since_ms` or later; checks the links for at
+    /// most `limit` if not, unless this instance knows that it is cut off.
+    pub async fn has_answer_since(&self, since_ms: u64, limit: Duration) -> bool {
+        let mut answered = self.answered.subscribe();
+        let has_answered = || self.decision().has_answered_since(since_ms);
+        if has_answered() || self.is_cut_off() {
+            return has_answered() && !self.is_cut_off();
+        }
+        self.check();
+        let settle = async {
+            while !has_answered() {
+                tokio::select! {
+                    _ = answered.changed() => {}
+                    () = self.cut_off() => return,
+                }
+            }
+        };
+        // A timeout says the same as no answer.
+        let _ = timeout(limit, settle).await;
+        has_answered()
+    }
+
     /// Has the links checked, unless an upstream has answered meanwhile.
     pub fn check(&self) {
         self.doubted.notify_one();
@@ -137,19 +162,9 @@
     /// attempt that failed just now may have failed with its links.
     pub async fn lost_links_since(&self, failed: Instant) -> bool {
         let failed_ms = self.now_ms().saturating_sub(to_ms(failed.elapsed()));
-        let mut answered = self.contact.answered.subscribe();
-        self.contact.check();
-        let settle = async {
-            while !self.contact.decision().has_answered_since(failed_ms) {
-                tokio::select! {
-                    _ = answered.changed() => {}
-                    () = self.contact.cut_off() => return,
-                }
-            }
-        };
+        let has_answer = self.contact.has_answer_since(failed_ms, VERDICT_WAIT).await;
         // Without an answer and without the belief, too few upstreams are known to tell.
-        let _ = timeout(CHECK_WAIT, settle).await;
-        self.contact.is_cut_off()
+        !has_answer && self.contact.is_cut_off()
     }
 
     fn begin_cut_off(&self, evidence: ContactEvidence) {
@@ -184,7 +199,13 @@
 async fn check_once<P: Platform>(gateway: &Arc<Gateway<P>>) {
     let checked_ms = gateway.now_ms();
     let mut answered = gateway.contact.answered.subscribe();
-    start_probes(gateway, PROBES_IN_DOUBT);
+    let is_in_doubt = gateway.contact.decision().has_failures();
+    let count = if is_in_doubt {
+        PROBES_IN_DOUBT
+    } else {
+        PROBES_PER_CHECK
+    };
+    start_probes(gateway, count);
     if timeout(CHECK_WAIT, answered.changed()).await.is_ok() {
         return;
     }
@@ -201,21 +222,32 @@
 
 /// Probes a few random upstreams on new connections, at first those that have not failed.
 ///
-/// Limited, cold and draining ones are left out: they are not to be asked for this.
+/// Limited, cold and draining ones are not to be asked for this. If there are no others, a
+/// connection that one of them accepts shows that the links work.
 fn start_probes<P: Platform>(gateway: &Arc<Gateway<P>>, count: usize) {
     let Some(manifest) = gateway.manifest() else {
         return;
     };
     let now_ms = gateway.now_ms();
     let mut known: Vec<(Arc<Upstream>, Arc<str>)> = Vec::new();
+    let mut limited: Vec<Arc<Upstream>> = Vec::new();
     for (service, spec) in &manifest.services {
         for upstream in gateway.eligible_upstreams(service) {
-            let is_limited = gateway.limit_of(&upstream.report).is_some();
-            if !is_limited && upstream.cold_until_ms <= now_ms {
+            if gateway.limit_of(&upstream.report).is_some() || upstream.cold_until_ms > now_ms {
+                limited.push(upstream);
+            } else {
                 known.push((upstream, Arc::clone(&spec.health_path)));
             }
         }
     }
+    if known.is_empty() {
+        limited.shuffle(&mut rand::rng());
+        for upstream in limited.into_iter().take(count) {
+            let client = gateway.upstream_clients.get(&upstream.report);
+            tokio::spawn(check_connection(Arc::clone(gateway), client));
+        }
+        return;
+    }
     known.shuffle(&mut rand::rng());
     {
         let contact = gateway.contact.decision();
@@ -242,6 +274,14 @@
     }
 }
 
+async fn check_connection<P: Platform>(gateway: Arc<Gateway<P>>, client: Arc<UpstreamClient>) {
+    if client.check_accepts(&gateway.metrics).await == ListenState::Accepted {
+        gateway.on_upstream_answer(&client.id);
+    } else {
+        gateway.on_upstream_silent(&client);
+    }
+}
+
 async fn check_upstream<P: Platform>(
     gateway: Arc<Gateway<P>>,
     client: Arc<UpstreamClient>,
