Hand requests over to an instance that has links, within half a second

Cause: three receivers were tried at most, right after a cut of many they are cut too; and calls between instances waited 40 ms for delayed acknowledgements (no TCP_NODELAY). Change: receivers are looked for until 500 ms have passed, offers are taken only from instances whose upstreams answered in the last 80 ms, TCP_NODELAY on both sides. The test waits until the instances are ready: one that is not yet ready offers nothing.

--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -34,8 +34,9 @@
 const NOBODY_LIFETIME_MS: u64 = 100;
 /// Age of an instance's last answer up to which its offer is preferred, in milliseconds.
 const FRESH_CONTACT_MS: u64 = 500;
-/// Instances that one request is offered to in one attempt.
-const MAX_RECEIVERS: usize = 3;
+/// Time in which one attempt looks for a receiver: right after a cut of many instances some
+/// offers are of those that do not know yet, and each takes 90 ms to find out.
+const SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Time in which a receiver must accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Added to the timeout of an attempt, for the receiver's probes and the hop.
@@ -96,20 +97,16 @@
     }
 
     /// Takes the less loaded of two random willing instances.
-    fn take(&self, left_out: &[SocketAddr]) -> Option<KnownOffer> {
+    fn take(&self) -> Option<KnownOffer> {
         let mut offers = self.offers();
-        let usable = |known: &KnownOffer| !left_out.contains(&known.address);
         let is_fresh = |known: &KnownOffer| {
             let no_answer_ms = known.offer.no_answer_ms;
             no_answer_ms.is_some_and(|age| age <= FRESH_CONTACT_MS)
         };
-        let has_fresh = offers
-            .willing
-            .iter()
-            .any(|one| usable(one) && is_fresh(one));
+        let has_fresh = offers.willing.iter().any(is_fresh);
         let mut drawn: Vec<&mut KnownOffer> = Vec::new();
         for known in &mut offers.willing {
-            if usable(known) && (is_fresh(known) || !has_fresh) {
+            if is_fresh(known) || !has_fresh {
                 drawn.push(known);
             }
         }
@@ -131,6 +128,10 @@
     fn remove(&self, address: SocketAddr) {
         let mut offers = self.offers();
         offers.willing.retain(|known| known.address != address);
+        if offers.willing.is_empty() {
+            // What the others said is no longer true either.
+            offers.asked_ms = None;
+        }
     }
 }
 
@@ -151,15 +152,14 @@
     if !copy.grow(call.body.len()) {
         return AttemptEnd::NoContact;
     }
-    if !gateway.hand_over.is_known(gateway.now_ms()) {
-        ask_once(gateway).await;
-    }
-    let mut left_out = Vec::with_capacity(MAX_RECEIVERS);
-    while left_out.len() < MAX_RECEIVERS && call.left_ms() > 0 {
-        let Some(known) = gateway.hand_over.take(&left_out) else {
+    let until = call.deadline.min(Instant::now() + SEARCH_TIME);
+    while Instant::now() < until {
+        if !gateway.hand_over.is_known(gateway.now_ms()) {
+            ask_once(gateway).await;
+        }
+        let Some(known) = gateway.hand_over.take() else {
             break;
         };
-        left_out.push(known.address);
         let end = hand_to(gateway, call, service, history, &known).await;
         log_end(gateway, call, &known, &end);
         match end {
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -72,6 +72,9 @@
             .await
             .map_err(|_| RelayError::Timeout)?
             .map_err(RelayError::Unreachable)?;
+        // Otherwise a call may wait 40 ms for the acknowledgement of the last one.
+        let stream = transport.get_ref();
+        stream.set_nodelay(true).map_err(RelayError::Unreachable)?;
         let client = RelayClient::new(client::Config::default(), transport).spawn();
         Ok(Self {
             client,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -299,6 +299,10 @@
                     continue;
                 }
             };
+            if let Err(error) = transport.get_ref().set_nodelay(true) {
+                tracing::debug!(%error, "connection of another instance dropped");
+                continue;
+            }
             let server = Server {
                 gateway: Arc::clone(&gateway),
             };
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -24,7 +24,7 @@
 const MAX_TRANSIT_MS: u64 = 250;
 /// Age of the last answer beyond which this instance checks its links before an offer; a
 /// cut that is younger shows when the request comes.
-const CHECK_AFTER_MS: u64 = 150;
+const CHECK_AFTER_MS: u64 = 80;
 /// Time for that check, well within the time for an offer.
 const CHECK_WAIT: Duration = Duration::from_millis(60);
 
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -66,7 +66,10 @@
         let all_know_all = || {
             fleet.instances.iter().all(|instance| {
                 let view = instance.gateway.view();
-                view.instances.len() == instances && view.directory.len() == upstreams
+                let knows_all =
+                    view.instances.len() == instances && view.directory.len() == upstreams;
+                drop(view);
+                knows_all && instance.gateway.is_ready()
             })
         };
         within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
