Wait for offers in a young cut; tests of what a hop must keep true

Cause: beside nine other tests, one of 20 first tries was refused right after the cut: no offer had come in the first round, and nobody was asked again for 100 ms. Change: until 600 ms after the last answer of an upstream, a request looks again each 15 ms, for 500 ms at most. Tests: the receiver ends in mid-run, stands still, the caller leaves, attempts across the hop, silent upstreams while one answers.

--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -8,7 +8,7 @@
 use futures::stream::FuturesUnordered;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::calls::{BodyReservation, Call, to_ms};
 use super::forward::AttemptEnd;
@@ -37,6 +37,10 @@
 /// Time in which one attempt looks for a receiver: right after a cut of many instances some
 /// offers are of those that do not know yet, and each takes 90 ms to find out.
 const SEARCH_TIME: Duration = Duration::from_millis(500);
+/// Time since the last answer up to which a request waits for offers that may still come.
+const YOUNG_CUT_MS: u64 = 600;
+/// Delay before a request looks again for them.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(15);
 /// Time in which a receiver must accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Added to the timeout of an attempt, for the receiver's probes and the hop.
@@ -152,13 +156,18 @@
     if !copy.grow(call.body.len()) {
         return AttemptEnd::NoContact;
     }
+    let began_ms = gateway.now_ms();
     let until = call.deadline.min(Instant::now() + SEARCH_TIME);
     while Instant::now() < until {
         if !gateway.hand_over.is_known(gateway.now_ms()) {
             ask_once(gateway).await;
         }
         let Some(known) = gateway.hand_over.take() else {
-            break;
+            if !is_cut_young(gateway, began_ms) {
+                break;
+            }
+            sleep(ASK_AGAIN_DELAY).await;
+            continue;
         };
         let end = hand_to(gateway, call, service, history, &known).await;
         log_end(gateway, call, &known, &end);
@@ -187,6 +196,14 @@
     AttemptEnd::NoContact
 }
 
+/// Whether this instance's links were lost so lately that an instance that has some may
+/// not have been found yet, and no upstream has answered since `began_ms`.
+fn is_cut_young<P: Platform>(gateway: &Gateway<P>, began_ms: u64) -> bool {
+    let contact = gateway.contact.decision();
+    let no_answer_ms = contact.no_answer_ms(gateway.now_ms());
+    !contact.has_answered_since(began_ms) && no_answer_ms.is_some_and(|age| age < YOUNG_CUT_MS)
+}
+
 /// Refuses a request that no instance can serve.
 pub fn refuse<P: Platform>(gateway: &Gateway<P>, call: &Call, service: &str) -> Outcome {
     let retry_after_ms = NOBODY_RETRY_AFTER_MS.min(call.left_ms() / MAX_RETRY_AFTER_SHARE);
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -189,3 +189,113 @@
         expect_that!(served, eq(20), "{state:?}");
     }
 }
+
+fn non_idempotent_route() -> Route {
+    Route {
+        is_idempotent: false,
+        ..route()
+    }
+}
+
+impl Fleet {
+    /// Starts instances of which the first is cut off, and knows it.
+    async fn start_cut(instances: usize, upstreams: usize) -> Self {
+        let fleet = Self::start(instances, upstreams).await;
+        fleet.links[0].set(LinkState::Hanging);
+        for _ in 0..3 {
+            fleet.send(0, &route()).await;
+        }
+        let contact = &fleet.gateway(0).contact;
+        within(OBJECTIVE, "it is cut off", || contact.is_cut_off()).await;
+        fleet
+    }
+}
+
+// Guards against a request that runs twice, or is said not to have run, because the
+// instance that ran it ended.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_receiver_ends_runs_once_and_is_not_refused() {
+    let mut fleet = Fleet::start_cut(2, 4).await;
+    fleet.set_behaviour(Behaviour::Serve(OBJECTIVE));
+    let runs = fleet.runs();
+
+    let gateway = Arc::clone(fleet.gateway(0));
+    let request = call(&non_idempotent_route(), "body");
+    let sent = tokio::spawn(async move { forward(&gateway, &request).await });
+    within(OBJECTIVE, "it runs", || fleet.runs() > runs).await;
+    fleet.instances.pop();
+    let outcome = sent.await.unwrap();
+
+    expect_that!(outcome.status().as_u16(), any![eq(502), eq(504)]);
+    expect_that!(fleet.runs(), eq(runs + 1));
+}
+
+// Guards against a request of a caller that has left running on at an upstream.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_run_behind_the_hop() {
+    let fleet = Fleet::start_cut(2, 2).await;
+    fleet.set_behaviour(Behaviour::Hang);
+    let runs = fleet.runs();
+
+    let gateway = Arc::clone(fleet.gateway(0));
+    let request = call(&non_idempotent_route(), "body");
+    let sent = tokio::spawn(async move { forward(&gateway, &request).await });
+    within(OBJECTIVE, "it runs", || fleet.runs() > runs).await;
+    sent.abort();
+
+    let disconnects = || fleet.upstreams.iter().map(FakeUpstream::disconnects).sum();
+    within(OBJECTIVE, "the run ends", || {
+        let ended: usize = disconnects();
+        ended > 0
+    })
+    .await;
+    expect_that!(fleet.gateway(1).taken.running(), eq(0));
+}
+
+// Guards against attempts being counted anew at each instance.
+#[gtest]
+#[tokio::test]
+async fn the_attempts_of_a_route_hold_across_the_hop() {
+    let fleet = Fleet::start_cut(3, 4).await;
+    fleet.set_behaviour(Behaviour::Fail);
+    let runs = fleet.runs();
+
+    let outcome = fleet.send(0, &route()).await;
+
+    expect_that!(outcome.status().as_u16(), eq(500));
+    expect_that!(fleet.runs(), eq(runs + 2));
+}
+
+// Guards against upstreams that fail being taken for lost links.
+#[gtest]
+#[tokio::test]
+async fn silent_upstreams_do_not_look_like_lost_links_while_one_answers() {
+    let fleet = Fleet::start(2, 6).await;
+    for upstream in &fleet.upstreams[1..] {
+        upstream.set_probe_delay(SETTLE_TIMEOUT);
+    }
+
+    for _ in 0..20 {
+        fleet.send(0, &route()).await;
+        expect_that!(fleet.gateway(0).contact.is_cut_off(), eq(false));
+    }
+}
+
+// Guards against a receiver that stood still running a request whose time has passed.
+#[gtest]
+#[tokio::test]
+async fn a_receiver_that_stood_still_runs_no_old_request() {
+    let fleet = Fleet::start_cut(2, 4).await;
+    expect_that!(fleet.send(0, &route()).await.status().as_u16(), eq(200));
+    let runs = fleet.runs();
+
+    fleet.instances[1].stand_still(Duration::from_millis(1_000));
+    let outcome = fleet.send(0, &non_idempotent_route()).await;
+    sleep(OBJECTIVE).await;
+
+    expect_that!(outcome.status().as_u16(), any![eq(200), eq(503)]);
+    let expected = runs + usize::from(outcome.status() == 200);
+    expect_that!(fleet.runs(), eq(expected));
+}
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -454,6 +454,12 @@
         Self::start_with(FakePlatform::new(store), settings).await
     }
 
+    /// Stops all its work for a while, as a frozen process does.
+    pub fn stand_still(&self, time: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move { std::thread::sleep(time) });
+    }
+
     /// Like [`TestInstance::start`], with a platform of its own.
     pub async fn start_with(platform: FakePlatform, settings: Settings) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
