--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -29,7 +29,7 @@
 /// Wait for further offers after the first one.
 const FURTHER_OFFERS_WAIT: Duration = Duration::from_millis(10);
 /// Time for which offers are used, in milliseconds; one more refresh may be missed.
-const OFFERS_LIFETIME_MS: u64 = 400;
+const OFFERS_LIFETIME_MS: u64 = 250;
 /// Time for which nobody is asked again after a round without an offer, in milliseconds.
 const NOBODY_LIFETIME_MS: u64 = 100;
 /// Age of an instance's last answer up to which its offer is preferred, in milliseconds.
@@ -157,13 +157,14 @@
         return AttemptEnd::NoContact;
     }
     let began_ms = gateway.now_ms();
+    let mut refusal = None;
     let until = call.deadline.min(Instant::now() + SEARCH_TIME);
     while Instant::now() < until {
         if !gateway.hand_over.is_known(gateway.now_ms()) {
             ask_once(gateway).await;
         }
         let Some(known) = gateway.hand_over.take() else {
-            if !is_cut_young(gateway, began_ms) {
+            if refusal.is_some() || !is_cut_young(gateway, began_ms) {
                 break;
             }
             sleep(ASK_AGAIN_DELAY).await;
@@ -178,7 +179,13 @@
             }
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
-                return ended(call, history, all, end.into_outcome());
+                let end = ended(call, history, all, end.into_outcome());
+                if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
+                    return end;
+                }
+                // It may lack some links, too; another one may have room.
+                gateway.hand_over.remove(known.address);
+                refusal = Some(end);
             }
             Err(error) => {
                 gateway.metrics.on_handed("lost");
@@ -193,7 +200,7 @@
             }
         }
     }
-    AttemptEnd::NoContact
+    refusal.unwrap_or(AttemptEnd::NoContact)
 }
 
 /// Whether this instance's links were lost so lately that an instance that has some may
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -144,7 +144,9 @@
         };
         pending.collect(wait).await;
         if wait == SILENT_ROUND_WAIT && !is_silent() {
-            pending.collect(LAST_ROUND_WAIT - SILENT_ROUND_WAIT).await;
+            pending
+                .collect(LAST_ROUND_WAIT.saturating_sub(SILENT_ROUND_WAIT))
+                .await;
         }
     }
     (pending.finish(), candidates.len())
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -299,6 +299,7 @@
 }
 
 /// An attempt without an answer.
+#[derive(Clone, Copy, Debug)]
 struct AttemptFailure {
     evidence: Evidence,
     began: Instant,
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -98,6 +98,7 @@
         return not_taken("it stops, or is cut off too", 1);
     }
     let transit_ms = now_ms.saturating_sub(handed.sent_ms);
+    let held_ms = handed.held_ms + transit_ms;
     let service = Arc::clone(&handed.service);
     let mut history = handed.history.clone();
     let call = match read(gateway, handed, transit_ms) {
@@ -111,7 +112,7 @@
             version = call.version,
             service = %service,
             transit_ms,
-            held_ms = call.held_ms(),
+            held_ms,
             left_ms = call.left_ms(),
             sends = history.sends,
             running,
@@ -159,7 +160,6 @@
         return Err(not_taken("no memory for the body", FULL_RETRY_AFTER_MS));
     }
     let now = Instant::now();
-    let held = Duration::from_millis(handed.held_ms + transit_ms);
     let left = Duration::from_millis(handed.left_ms.saturating_sub(transit_ms));
     Ok(Call {
         id: handed.id.and_then(|id| HeaderValue::from_bytes(&id).ok()),
@@ -169,7 +169,8 @@
         reservation,
         route: Arc::clone(route),
         version: manifest.version,
-        arrived: now.checked_sub(held).unwrap_or(now),
+        // Its upstreams get the usual time to answer their probes.
+        arrived: now,
         deadline: now + left,
         fingerprint: OnceLock::new(),
         target: handed.target,
