--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod logging;
 pub mod lost_records;
 pub mod metrics;
+pub mod offers;
 pub mod outcome;
 pub mod peer_client;
 pub mod peer_push;
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -1,39 +1,22 @@
 //! Hands requests to other instances while this one reaches no upstream.
 
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
-use rand::RngExt;
-use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 use super::calls::{BodyReservation, Call, to_ms};
 use super::forward::AttemptEnd;
 use super::handed::{
-    AttemptHistory, HandedAnswer, HandedRequest, MAX_HANDED_BYTES, Offer, encode_headers,
+    AttemptHistory, HandedAnswer, HandedRequest, MAX_HANDED_BYTES, encode_headers,
 };
+use super::offers::{KnownOffer, ask_once};
 use super::outcome::{Outcome, Reason};
-use super::peer_client::{HandError, PeerClient};
+use super::peer_client::HandError;
 use super::sending::attempt_deadline;
 use super::state::Gateway;
 use super::store::Platform;
 
-/// Instances that are asked for offers in one round; beyond that, as many random ones.
-const MAX_ASKED: usize = 16;
-/// Time in which an instance must make an offer: as long as two lost calls on a kept
-/// connection may take, and well below the time that callers wait.
-const OFFER_TIMEOUT: Duration = Duration::from_millis(120);
-/// Wait for further offers after the first one.
-const FURTHER_OFFERS_WAIT: Duration = Duration::from_millis(10);
-/// Time for which offers are used, in milliseconds; one more refresh may be missed.
-const OFFERS_LIFETIME_MS: u64 = 250;
-/// Time for which nobody is asked again after a round without an offer, in milliseconds.
-const NOBODY_LIFETIME_MS: u64 = 100;
-/// Age of an instance's last answer up to which its offer is preferred, in milliseconds.
-const FRESH_CONTACT_MS: u64 = 500;
 /// Time in which one attempt looks for a receiver: right after a cut of many instances some
 /// offers are of those that do not know yet, and each takes 90 ms to find out.
 const SEARCH_TIME: Duration = Duration::from_millis(500);
@@ -51,94 +34,6 @@
 /// Share of the caller's remaining time that the retry delay may take.
 const MAX_RETRY_AFTER_SHARE: u64 = 4;
 
-/// An offer, and what this instance has made of it.
-#[derive(Clone, Debug)]
-struct KnownOffer {
-    address: SocketAddr,
-    offer: Offer,
-    received_ms: u64,
-    handed: u32,
-}
-
-#[derive(Debug, Default)]
-struct Offers {
-    willing: Vec<KnownOffer>,
-    /// Willing instances that others have named.
-    named: Vec<SocketAddr>,
-    asked_ms: Option<u64>,
-}
-
-/// Offers of other instances.
-#[derive(Debug, Default)]
-pub struct HandOverState {
-    offers: Mutex<Offers>,
-    /// Held while offers are asked for, so that requests that come together ask once.
-    asking: tokio::sync::Mutex<()>,
-}
-
-impl HandOverState {
-    fn offers(&self) -> MutexGuard<'_, Offers> {
-        self.offers.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Instances that were willing at the last round.
-    #[must_use]
-    pub fn willing(&self) -> Vec<SocketAddr> {
-        let offers = self.offers();
-        offers.willing.iter().map(|known| known.address).collect()
-    }
-
-    fn is_known(&self, now_ms: u64) -> bool {
-        let offers = self.offers();
-        let lifetime_ms = if offers.willing.is_empty() {
-            NOBODY_LIFETIME_MS
-        } else {
-            OFFERS_LIFETIME_MS
-        };
-        offers
-            .asked_ms
-            .is_some_and(|asked| now_ms.saturating_sub(asked) < lifetime_ms)
-    }
-
-    /// Takes the less loaded of two random willing instances.
-    fn take(&self) -> Option<KnownOffer> {
-        let mut offers = self.offers();
-        let is_fresh = |known: &KnownOffer| {
-            let no_answer_ms = known.offer.no_answer_ms;
-            no_answer_ms.is_some_and(|age| age <= FRESH_CONTACT_MS)
-        };
-        let has_fresh = offers.willing.iter().any(is_fresh);
-        let mut drawn: Vec<&mut KnownOffer> = Vec::new();
-        for known in &mut offers.willing {
-            if is_fresh(known) || !has_fresh {
-                drawn.push(known);
-            }
-        }
-        if drawn.is_empty() {
-            return None;
-        }
-        let first = rand::rng().random_range(0..drawn.len());
-        let second = rand::rng().random_range(0..drawn.len());
-        let load = |index: usize| drawn[index].offer.taken + drawn[index].handed;
-        let best = if load(first) <= load(second) {
-            first
-        } else {
-            second
-        };
-        drawn[best].handed += 1;
-        Some(drawn[best].clone())
-    }
-
-    fn remove(&self, address: SocketAddr) {
-        let mut offers = self.offers();
-        offers.willing.retain(|known| known.address != address);
-        if offers.willing.is_empty() {
-            // What the others said is no longer true either.
-            offers.asked_ms = None;
-        }
-    }
-}
-
 /// Hands a request to another instance.
 ///
 /// [`AttemptEnd::NoContact`] if nobody took it, and nothing was sent.
@@ -160,10 +55,10 @@
     let mut refusal = None;
     let until = call.deadline.min(Instant::now() + SEARCH_TIME);
     while Instant::now() < until {
-        if !gateway.hand_over.is_known(gateway.now_ms()) {
+        if !gateway.offers.is_known(gateway.now_ms()) {
             ask_once(gateway).await;
         }
-        let Some(known) = gateway.hand_over.take() else {
+        let Some(known) = gateway.offers.take() else {
             if refusal.is_some() || !is_cut_young(gateway, began_ms) {
                 break;
             }
@@ -175,7 +70,7 @@
         match end {
             Ok(HandedAnswer::NotTaken { .. }) | Err(HandError::NotSent(_)) => {
                 gateway.metrics.on_handed("not-taken");
-                gateway.hand_over.remove(known.address);
+                gateway.offers.remove(known.address);
             }
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
@@ -184,12 +79,12 @@
                     return end;
                 }
                 // It may lack some links, too; another one may have room.
-                gateway.hand_over.remove(known.address);
+                gateway.offers.remove(known.address);
                 refusal = Some(end);
             }
             Err(error) => {
                 gateway.metrics.on_handed("lost");
-                gateway.hand_over.remove(known.address);
+                gateway.offers.remove(known.address);
                 history.sends += 1;
                 history.may_have_run = true;
                 let reason = match error {
@@ -328,90 +223,3 @@
         }
     }
 }
-
-/// Asks for offers, unless another request has just done so.
-async fn ask_once<P: Platform>(gateway: &Arc<Gateway<P>>) {
-    let _asking = gateway.hand_over.asking.lock().await;
-    if !gateway.hand_over.is_known(gateway.now_ms()) {
-        ask(gateway, FURTHER_OFFERS_WAIT).await;
-    }
-}
-
-/// Asks for offers, in the background.
-pub async fn refresh_offers<P: Platform>(gateway: &Arc<Gateway<P>>) {
-    if let Ok(_asking) = gateway.hand_over.asking.try_lock() {
-        ask(gateway, OFFER_TIMEOUT).await;
-    }
-}
-
-/// Asks other instances for offers, and waits `further` for more after the first.
-async fn ask<P: Platform>(gateway: &Arc<Gateway<P>>, further: Duration) {
-    let mut pending = FuturesUnordered::new();
-    for address in targets(gateway) {
-        pending.push(async move {
-            let call = |client: PeerClient| async move { client.offer().await };
-            let offer = gateway.peers.call(address, OFFER_TIMEOUT, call).await;
-            (address, offer, gateway.now_ms())
-        });
-    }
-    let mut until = Instant::now() + OFFER_TIMEOUT;
-    let mut willing = Vec::new();
-    let mut named = Vec::new();
-    while let Ok(Some((address, offer, received_ms))) = timeout_at(until, pending.next()).await {
-        let offer = match offer {
-            Ok(offer) => offer,
-            Err(error) => {
-                tracing::debug!(%address, %error, "no answer to a request for an offer");
-                continue;
-            }
-        };
-        named.extend(&offer.willing);
-        if !offer.is_willing {
-            continue;
-        }
-        willing.push(KnownOffer {
-            address,
-            offer,
-            received_ms,
-            handed: 0,
-        });
-        until = until.min(Instant::now() + further);
-    }
-    named.truncate(MAX_ASKED);
-    let asked_ms = Some(gateway.now_ms());
-    *gateway.hand_over.offers() = Offers {
-        willing,
-        named,
-        asked_ms,
-    };
-}
-
-/// Other instances to ask: all if they are few; otherwise those that were or are said to
-/// be willing, and random ones of all data centres.
-fn targets<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
-    let me = gateway.settings().peer_address;
-    let now_ms = gateway.now_ms();
-    let mut others: Vec<SocketAddr> = Vec::new();
-    for instance in gateway.view().instances.values() {
-        others.push(instance.address);
-    }
-    {
-        let contacts = gateway.peers.contacts();
-        others.retain(|address| *address != me && !contacts.is_paused(address, now_ms));
-    }
-    if others.len() <= MAX_ASKED {
-        return others;
-    }
-    let mut targets: Vec<SocketAddr> = others
-        .sample(&mut rand::rng(), MAX_ASKED)
-        .copied()
-        .collect();
-    let offers = gateway.hand_over.offers();
-    let known = offers.willing.iter().map(|known| &known.address);
-    for address in known.chain(&offers.named).take(MAX_ASKED) {
-        if others.contains(address) && !targets.contains(address) {
-            targets.push(*address);
-        }
-    }
-    targets
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,9 +9,9 @@
 use tokio::time::Instant;
 
 use super::calls::{BodyMemory, to_ms};
-use super::hand_over::HandOverState;
 use super::logging::LogBudget;
 use super::metrics::Metrics;
+use super::offers::OfferState;
 use super::peers::Peers;
 use super::rate_limits::LimitState;
 use super::settings::Settings;
@@ -91,7 +91,7 @@
     /// Whether any upstream answers this instance.
     pub contact: ContactState,
     /// Offers of other instances to take requests.
-    pub hand_over: HandOverState,
+    pub offers: OfferState,
     /// Requests that this instance runs for others.
     pub taken: TakenState,
     started_at: Instant,
@@ -136,7 +136,7 @@
             peers: Peers::default(),
             limits: LimitState::default(),
             contact: ContactState::default(),
-            hand_over: HandOverState::default(),
+            offers: OfferState::default(),
             taken: TakenState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -77,7 +77,7 @@
         taken: u32::try_from(running).unwrap_or(u32::MAX),
         now_ms,
         willing: if is_cut_off {
-            gateway.hand_over.willing()
+            gateway.offers.willing()
         } else {
             Vec::new()
         },
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::calls::to_ms;
-use super::hand_over;
+use super::offers;
 use super::rate_limits::AnswerKind;
 use super::state::Gateway;
 use super::store::Platform;
@@ -188,7 +188,7 @@
         check_once(&gateway).await;
         while gateway.contact.is_cut_off() {
             let refreshing = Arc::clone(&gateway);
-            tokio::spawn(async move { hand_over::refresh_offers(&refreshing).await });
+            tokio::spawn(async move { offers::refresh(&refreshing).await });
             start_probes(&gateway, PROBES_PER_CHECK);
             sleep(CHECK_INTERVAL).await;
         }
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -291,7 +291,7 @@
     expect_that!(fleet.send(0, &route()).await.status().as_u16(), eq(200));
     let runs = fleet.runs();
 
-    fleet.instances[1].stand_still(Duration::from_millis(1_000));
+    fleet.instances[1].stand_still(Duration::from_secs(1));
     let outcome = fleet.send(0, &non_idempotent_route()).await;
     sleep(OBJECTIVE).await;
 
