--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,13 +11,16 @@
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
 use super::metrics::Metrics;
+use super::offers::OfferState;
 use super::peers::Peers;
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
 use super::stream_ages::StreamAges;
 use super::suspects::SuspectState;
+use super::taken::TakenState;
 use super::upstream_client::UpstreamClients;
+use super::upstream_contact::ContactState;
 use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
@@ -90,6 +93,12 @@
     pub peers: Peers,
     /// Rates that upstreams take from the whole fleet.
     pub limits: LimitState,
+    /// Whether any upstream answers this instance.
+    pub contact: ContactState,
+    /// Offers of other instances to take requests.
+    pub offers: OfferState,
+    /// Requests that this instance runs for others.
+    pub taken: TakenState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -133,6 +142,9 @@
             suspects: SuspectState::default(),
             peers: Peers::default(),
             limits: LimitState::default(),
+            contact: ContactState::default(),
+            offers: OfferState::default(),
+            taken: TakenState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -17,13 +17,15 @@
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
 use chicorywing::gateway::{
-    follower, limit_exchange, lost_records, reader_role, relay, suspect_records,
+    follower, limit_exchange, lost_records, reader_role, relay, suspect_records, upstream_contact,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use super::links::Links;
+
 /// Service of all upstreams in these tests.
 pub const SERVICE: &str = "s";
 /// Data centre of the gateways in these tests.
@@ -221,12 +223,14 @@
 pub struct FakePlatform {
     pub store: Arc<FakeStore>,
     names: HeaderNames,
+    links: Arc<Links>,
 }
 
 impl FakePlatform {
     pub fn new(store: &Arc<FakeStore>) -> Self {
         Self {
             store: Arc::clone(store),
+            links: Links::new(),
             names: HeaderNames {
                 request_id: HeaderName::from_static("t-id"),
                 deadline_ms: HeaderName::from_static("t-deadline-ms"),
@@ -240,6 +244,14 @@
             },
         }
     }
+
+    /// Reaches upstreams only through these links.
+    pub fn with_links(self, links: &Arc<Links>) -> Self {
+        Self {
+            links: Arc::clone(links),
+            ..self
+        }
+    }
 }
 
 impl Platform for FakePlatform {
@@ -364,6 +376,7 @@
         let address = fields
             .next()
             .map_or(nowhere, |address| address.parse().unwrap());
+        let address = self.links.address_of(address);
         let started_at_ms = fields.next().map_or(1, |time| time.parse().unwrap());
         Ok(UpstreamReport {
             started_at_ms,
@@ -470,12 +483,23 @@
 impl TestInstance {
     /// Starts the tasks that read the store and talk to other instances.
     pub async fn start(store: &Arc<FakeStore>, settings: Settings) -> Self {
+        Self::start_with(FakePlatform::new(store), settings).await
+    }
+
+    /// Stops all its work for a while, as a frozen process does.
+    pub fn stand_still(&self, time: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move { std::thread::sleep(time) });
+    }
+
+    /// Like [`TestInstance::start`], with a platform of its own.
+    pub async fn start_with(platform: FakePlatform, settings: Settings) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .unwrap();
-        let gateway = Gateway::new(FakePlatform::new(store), settings);
+        let gateway = Gateway::new(platform, settings);
         let started = runtime.spawn(start_tasks(Arc::clone(&gateway)));
         started.await.unwrap();
         Self {
@@ -497,6 +521,7 @@
     tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
     tokio::spawn(reader_role::run(Arc::clone(&gateway)));
     tokio::spawn(limit_exchange::run(Arc::clone(&gateway)));
+    tokio::spawn(upstream_contact::run(Arc::clone(&gateway)));
     tokio::spawn(lost_records::rewrite(Arc::clone(&gateway)));
     tokio::spawn(suspect_records::keep_stored(gateway));
 }
