--- a/tests/soak/balancer.rs
+++ b/tests/soak/balancer.rs
@@ -55,7 +55,7 @@
     }
 }
 
-async fn is_ready(address: std::net::SocketAddr) -> bool {
+pub async fn is_ready(address: std::net::SocketAddr) -> bool {
     let Ok(stream) = TcpStream::connect(address).await else {
         return false;
     };
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::cuts;
 use crate::env::TestEnv;
 use crate::ledger::{End, SentRequest};
 use crate::limits;
@@ -58,6 +59,9 @@
             let address = self.env.gateways[gateway].caller_address;
             let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
             let Ok(Ok(stream)) = connecting.await else {
+                if cuts::is_played(self.env.seed) {
+                    self.record_failed_connection(gateway);
+                }
                 sleep(Duration::from_millis(50)).await;
                 continue;
             };
@@ -67,7 +71,7 @@
                 if !keeps_alive || self.env.is_stopping() {
                     break;
                 }
-                let pause_ms = self.random.random_range(10..120);
+                let pause_ms = self.random.random_range(cuts::pauses_ms(self.env.seed));
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
@@ -89,6 +93,21 @@
         *candidates.choose(&mut self.random).unwrap()
     }
 
+    /// Records a refused connection as a request that failed.
+    fn record_failed_connection(&mut self, gateway: usize) {
+        self.request_count += 1;
+        let now_ms = self.env.now_ms();
+        self.env.ledger.add_request(SentRequest {
+            id: format!("c{}-{}", self.number, self.request_count),
+            gateway,
+            method: "GET",
+            target: String::new(),
+            sent_ms: now_ms,
+            ended_ms: now_ms,
+            end: End::WriteFailed,
+        });
+    }
+
     /// Sends one request and records how it ended. Returns whether the connection
     /// can be reused.
     async fn send_request(&mut self, gateway: usize, stream: &mut BufReader<TcpStream>) -> bool {
--- a/tests/soak/crashing.rs
+++ b/tests/soak/crashing.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::caller::{ANSWER_TIMEOUT, DEADLINE_MS};
+use crate::cuts;
 use crate::env::TestEnv;
 use crate::faults;
 use crate::ledger::End;
@@ -38,7 +39,7 @@
 /// Whether the seed plays such a request. Upstreams then have no proxy before them,
 /// since one would accept connections for an upstream that has ended.
 pub fn is_played(seed: u64) -> bool {
-    (301..=400).contains(&seed) || (seed > 100 && seed.is_multiple_of(2))
+    (301..=400).contains(&seed) || (seed > 100 && seed.is_multiple_of(2) && !cuts::is_played(seed))
 }
 
 /// How such requests are played without drawn faults, by hand.
--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -10,9 +10,11 @@
 
 use crate::balancer;
 use crate::crashing;
+use crate::cuts;
 use crate::gateway::Gateway;
 use crate::ledger::Ledger;
 use crate::limits;
+use crate::owners::Owners;
 use crate::proxy::{Proxy, ProxyMode};
 use crate::store::{Store, StoreMode};
 use crate::upstream::{Fault, RunningUpstream, UpstreamConfig};
@@ -148,7 +150,7 @@
             } else {
                 store_address
             };
-            let proxy = Proxy::start(proxy_address, store_address).await;
+            let proxy = Proxy::start(proxy_address, store_address, None).await;
             let mut gateway =
                 Gateway::new(number, size.gateways, host, proxy_address, proxy, &folder);
             if cut.contains(&number) {
@@ -156,11 +158,12 @@
             }
             gateways.push(gateway);
         }
+        let owners = cuts::is_played(seed).then(|| Owners::of(&gateways));
         let mut upstream_proxies = Vec::new();
         for position in 0..size.upstreams() {
             let from = SocketAddr::from((host, port(UPSTREAM_PROXY_PORT, position)));
             let to = SocketAddr::from((host, port(UPSTREAM_PORT, position)));
-            upstream_proxies.push(Proxy::start(from, to).await);
+            upstream_proxies.push(Proxy::start(from, to, owners.clone()).await);
         }
         let env = Arc::new(Self {
             store,
@@ -321,6 +324,7 @@
         }
         for gateway in &self.gateways {
             gateway.store_proxy.set_mode(ProxyMode::Pass);
+            gateway.upstream_link.set_mode(ProxyMode::Pass);
             gateway.signal("-CONT").await;
             if !gateway.is_running().await {
                 gateway.start(false).await;
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use tokio::process::{Child, Command};
@@ -34,6 +35,10 @@
     pub ready_address: SocketAddr,
     /// Proxy between the gateway and the store.
     pub store_proxy: Proxy,
+    /// Its links to all upstreams, in plays that cut them.
+    pub upstream_link: Proxy,
+    /// Process id; 0 before the first start.
+    pub pid: Arc<AtomicU32>,
     /// Whether callers open new connections to this gateway.
     pub is_in_rotation: AtomicBool,
     pub log_file: PathBuf,
@@ -73,6 +78,8 @@
             caller_address: address(CALLER_PORT),
             ready_address: address(READY_PORT),
             store_proxy,
+            upstream_link: Proxy::new(),
+            pid: Arc::default(),
             is_in_rotation: AtomicBool::new(false),
             log_file: folder.join(format!("{name}.log")),
             settings_file: folder.join(format!("{name}.jsonc")),
@@ -109,8 +116,10 @@
             .stdout(Stdio::from(log.try_clone().unwrap()))
             .stderr(Stdio::from(log))
             .kill_on_drop(true)
-            .spawn();
-        *child = Some(started.unwrap());
+            .spawn()
+            .unwrap();
+        self.pid.store(started.id().unwrap_or(0), Ordering::Relaxed);
+        *child = Some(started);
         *self.started_at.lock().unwrap() = Some(Instant::now());
         self.is_asked_to_stop.store(false, Ordering::Relaxed);
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,11 +14,13 @@
 mod caller;
 mod checks;
 mod crashing;
+mod cuts;
 mod env;
 mod faults;
 mod gateway;
 mod ledger;
 mod limits;
+mod owners;
 mod proxy;
 mod store;
 mod upstream;
@@ -96,7 +98,8 @@
     };
     let (first, last) = range.split_once('-').unwrap_or((&range, &range));
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
-    if PLAY_SEEDS.contains(&first) || limits::PLAY_SEEDS.contains(&first) {
+    if PLAY_SEEDS.contains(&first) || limits::PLAY_SEEDS.contains(&first) || cuts::is_played(first)
+    {
         return (first..=last).collect();
     }
     let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
@@ -109,7 +112,10 @@
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
     let play = crashing::Play::of(seed);
-    if let Some(play) = limits::Play::of(seed) {
+    let mut cut = None;
+    if let Some(play) = cuts::Play::of(seed) {
+        cut = Some(cuts::play(&env, play).await);
+    } else if let Some(play) = limits::Play::of(seed) {
         limits::play(&env, play).await;
     } else if let Some(play) = play {
         crashing::play(&env, play).await;
@@ -136,6 +142,7 @@
     let mut violations = tokio::task::block_in_place(|| {
         let mut violations = checks::find_violations(&env, steady_from_ms);
         violations.extend(crashing::check(&env));
+        violations.extend(cut.iter().flat_map(|cut| cuts::check(&env, cut)));
         violations.extend(limits::check(&env, faults_ended_ms));
         violations
     });
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -11,6 +11,8 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::owners::Owners;
+
 /// What the proxy does with the bytes that it relays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -24,12 +26,14 @@
     /// Holds the bytes in both directions and accepts new connections without
     /// connecting them to the target.
     HoldAll,
+    /// Resets new connections; open ones go on.
+    ResetNew,
 }
 
 impl ProxyMode {
     fn holds(self, is_to_target: bool) -> bool {
         match self {
-            Self::Pass | Self::Delay(_) => false,
+            Self::Pass | Self::Delay(_) | Self::ResetNew => false,
             Self::HoldToTarget => is_to_target,
             Self::HoldFromTarget => !is_to_target,
             Self::HoldAll => true,
@@ -45,6 +49,8 @@
     blackholes: u64,
 }
 
+/// A proxy, or the links of one gateway, whose state then replaces that of the proxies that
+/// it connects to.
 #[derive(Clone, Debug)]
 pub struct Proxy {
     mode: Arc<watch::Sender<ProxyMode>>,
@@ -52,18 +58,29 @@
 }
 
 impl Proxy {
-    pub async fn start(from: SocketAddr, to: SocketAddr) -> Self {
-        let proxy = Self {
+    pub fn new() -> Self {
+        Self {
             mode: Arc::new(watch::Sender::new(ProxyMode::Pass)),
             interruptions: Arc::new(watch::Sender::new(Interruptions::default())),
-        };
+        }
+    }
+
+    pub async fn start(from: SocketAddr, to: SocketAddr, owners: Option<Arc<Owners>>) -> Self {
+        let proxy = Self::new();
         let listener = TcpListener::bind(from).await.unwrap();
         let server = proxy.clone();
         tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                let mode = server.mode.subscribe();
-                let interruptions = server.interruptions.subscribe();
-                tokio::spawn(relay(client, to, mode, interruptions));
+            while let Ok((client, source)) = listener.accept().await {
+                let (server, owners) = (server.clone(), owners.clone());
+                tokio::spawn(async move {
+                    let Some(owners) = owners else {
+                        return relay(client, to, server, |_| ()).await;
+                    };
+                    if let Some((number, link)) = owners.of_connection(source, from).await {
+                        let add_source = |source| owners.add_source(source, number);
+                        relay(client, to, link, add_source).await;
+                    }
+                });
             }
         });
         proxy
@@ -90,9 +107,15 @@
 async fn relay(
     client: TcpStream,
     to: SocketAddr,
-    mut mode: watch::Receiver<ProxyMode>,
-    mut interruptions: watch::Receiver<Interruptions>,
+    link: Proxy,
+    connected_from: impl FnOnce(SocketAddr),
 ) {
+    let mut mode = link.mode.subscribe();
+    let mut interruptions = link.interruptions.subscribe();
+    if *mode.borrow() == ProxyMode::ResetNew {
+        reset(&client);
+        return;
+    }
     let at_start = *interruptions.borrow_and_update();
     let is_held = |mode: &ProxyMode| *mode == ProxyMode::HoldAll;
     if mode.wait_for(|mode| !is_held(mode)).await.is_err() {
@@ -102,6 +125,9 @@
         reset(&client);
         return;
     };
+    if let Ok(source) = target.local_addr() {
+        connected_from(source);
+    }
     for stream in [&client, &target] {
         if stream.set_nodelay(true).is_err() {
             return;
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -45,6 +45,8 @@
     SendsEndlessAnswers,
     /// Health checks report it as unhealthy although it serves requests.
     ReportsUnhealthy,
+    /// Nothing is answered until the fault ends, as by a stopped process.
+    Frozen,
 }
 
 /// Identity and addresses of an upstream.
@@ -239,6 +241,7 @@
         request: &Message,
         stream: &mut BufReader<TcpStream>,
     ) -> bool {
+        self.thaw().await;
         let id = request.header("x-request-id");
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != self.config.id {
@@ -293,11 +296,19 @@
         }
         let index = env.ledger.start_run(self.new_run(env, request));
         let is_connected = self.work(fault, stream).await;
+        self.thaw().await;
         env.ledger.end_run(index, env.now_ms());
         drop(slot);
         is_connected && self.reply(env, fault, request, stream).await
     }
 
+    /// Waits while the upstream is frozen.
+    async fn thaw(&self) {
+        let mut fault = self.fault.subscribe();
+        // The sender is a field of this upstream and exists as long as it.
+        let _ = fault.wait_for(|fault| *fault != Fault::Frozen).await;
+    }
+
     fn new_run(&self, env: &TestEnv, request: &Message) -> Run {
         let (method, target) = request.start_fields();
         let draining_since_ms = self.draining_since_ms.load(Ordering::Relaxed);
