--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -8,6 +8,7 @@
 use strum::{EnumCount, EnumIter, IntoEnumIterator};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::answers;
 use crate::balancer;
 use crate::caller::DEADLINE_MS;
 use crate::env::{DATA_CENTRES, TestEnv};
@@ -95,8 +96,9 @@
     }
 }
 
+/// Whether a seed plays cuts or [`answers`], which need to know gateways by their connections.
 pub fn is_played(seed: u64) -> bool {
-    PLAY_SEEDS.contains(&seed)
+    PLAY_SEEDS.contains(&seed) || answers::PLAY_SEEDS.contains(&seed)
 }
 
 /// Pauses of a caller between its requests in milliseconds.
@@ -160,11 +162,7 @@
         }
         Play::StoreAway => env.store.set_mode(StoreMode::Refusing),
         Play::GatewaysRestartedInTurn => {
-            for number in 0..env.gateways.len() {
-                if Instant::now() < until {
-                    restart(env, number).await;
-                }
-            }
+            restart_in_turn(env, until).await;
         }
         Play::OthersFrozen => {
             set_frozen(env, Fault::Frozen).await;
@@ -189,6 +187,15 @@
     }
 }
 
+/// Restarts gateways in turn, each once at most.
+pub async fn restart_in_turn(env: &TestEnv, until: Instant) {
+    for number in 0..env.gateways.len() {
+        if Instant::now() < until {
+            restart(env, number).await;
+        }
+    }
+}
+
 /// Restarts a gateway with SIGTERM and waits until it is ready.
 async fn restart(env: &TestEnv, number: usize) {
     let gateway = &env.gateways[number];
@@ -208,15 +215,15 @@
 }
 
 /// First tries of callers in a time, at some gateways.
-struct Tries {
-    served_ms: Vec<u64>,
-    refused_ms: Vec<u64>,
-    all: usize,
-    without_return_time: usize,
+pub struct Tries {
+    pub served_ms: Vec<u64>,
+    pub refused_ms: Vec<u64>,
+    pub all: usize,
+    pub without_return_time: usize,
 }
 
 impl Tries {
-    fn of(env: &TestEnv, sent_ms: Range<u64>, is_own: impl Fn(usize) -> bool) -> Self {
+    pub fn of(env: &TestEnv, sent_ms: Range<u64>, is_own: impl Fn(usize) -> bool) -> Self {
         let mut tries = Self {
             served_ms: Vec::new(),
             refused_ms: Vec::new(),
@@ -264,7 +271,7 @@
         tries
     }
 
-    fn share(&self) -> f64 {
+    pub fn share(&self) -> f64 {
         let [served, all] =
             [self.served_ms.len(), self.all].map(|count| f64::from(u32::try_from(count).unwrap()));
         served / all
@@ -272,7 +279,7 @@
 }
 
 /// The time within which a percentage of sorted times lies.
-fn percentile(times_ms: &[u64], percent: usize) -> u64 {
+pub fn percentile(times_ms: &[u64], percent: usize) -> u64 {
     let index = (times_ms.len() * percent).div_ceil(100).saturating_sub(1);
     times_ms.get(index).copied().unwrap_or(0)
 }
--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -1,5 +1,7 @@
 //! The processes, stand-ins and records of one seed.
 
+mod manifest;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
@@ -17,7 +19,7 @@
 use crate::owners::Owners;
 use crate::proxy::{Proxy, ProxyMode};
 use crate::store::{Store, StoreMode};
-use crate::upstream::{Fault, RunningUpstream, UpstreamConfig};
+use crate::upstream::{Fault, RunningUpstream, Said, UpstreamConfig};
 
 /// Services of the upstreams.
 pub const SERVICES: [&str; 2] = ["bins", "bookings"];
@@ -91,6 +93,8 @@
     pub gateways: Vec<Gateway>,
     pub upstreams: tokio::sync::Mutex<Vec<Option<RunningUpstream>>>,
     pub upstream_proxies: Vec<Proxy>,
+    /// In plays that need to know gateways by their connections.
+    pub owners: Option<Arc<Owners>>,
     pub size: Size,
     pub seed: u64,
     started: Instant,
@@ -172,6 +176,7 @@
             gateways,
             upstreams: tokio::sync::Mutex::default(),
             upstream_proxies,
+            owners,
             size,
             seed,
             started: Instant::now(),
@@ -227,14 +232,14 @@
             accepted_ms: self.now_ms(),
         };
         versions.push(version);
-        let manifest = manifest(version).to_string();
+        let manifest = manifest::of(version).to_string();
         self.store.put("keyed.op", "config", manifest.as_bytes());
     }
 
     /// Writes what is in force again, as operators do after the store has lost records.
     pub fn write_again(&self) {
         if let Some(version) = self.versions().last() {
-            let manifest = manifest(*version).to_string();
+            let manifest = manifest::of(*version).to_string();
             self.store.put("keyed.op", "config", manifest.as_bytes());
         }
         let evacuations = self.evacuations().clone();
@@ -335,6 +340,7 @@
         }
         for running in self.upstreams.lock().await.iter().flatten() {
             running.upstream.name_limit(self, None);
+            running.upstream.say(Said::default());
         }
         for (position, slot) in self.upstreams.lock().await.iter_mut().enumerate() {
             match slot {
@@ -378,34 +384,3 @@
 pub fn port(first: u16, number: usize) -> u16 {
     first + u16::try_from(number).unwrap()
 }
-
-fn manifest(version: Version) -> serde_json::Value {
-    let [bins, bookings] = SERVICES;
-    let mut routes = serde_json::Map::new();
-    let mut add = |name: &str, kind: &str, service: &str, attempts: u32| {
-        let route = serde_json::json!({
-            "host": "soak.test", "path-prefix": format!("/{name}/"), "kind": kind,
-            "timeout": "1500ms", "target-latency": "400ms", "priority": 1,
-            "service": service, "attempts": attempts,
-        });
-        routes.insert(name.to_owned(), route);
-    };
-    add("look", "safe", bins, 3);
-    add("book", "unsafe", bookings, 2);
-    add("move", "safe", version.moving_service(), 3);
-    for number in 3..=version.number {
-        add(&format!("new-{number}"), "safe", bins, 3);
-    }
-    let service = serde_json::json!({
-        "health-path": "/healthz", "max-conns": 220, "protocol": "h1", "tls": false,
-        "warmup": "3s", "warmup-per-s": 4,
-    });
-    serde_json::json!({
-        "version": version.number, "routes": routes, "base-rev": 0,
-        "services": { bins: service, bookings: service },
-        "limits": {
-            "max-header-bytes": 16384, "max-body-bytes": 65536,
-            "header-timeout": "3000ms", "idle-timeout": "15s",
-        },
-    })
-}
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -76,12 +76,20 @@
     pub first_told_ms: Option<u64>,
 }
 
-/// A request or probe at an upstream that has named a limit.
+/// A request or probe at an upstream that has named a limit, or in a play of links or answers.
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub upstream: String,
     pub at_ms: u64,
     pub is_probe: bool,
+    /// Id of the request.
+    pub request: String,
+    /// The gateway that its connection comes from, where that is known.
+    pub gateway: Option<usize>,
+    /// Whether the upstream says that it leaves.
+    pub is_leaving: bool,
+    /// Whether it was answered that the upstream wants nothing for a time.
+    pub is_turned_away: bool,
 }
 
 #[derive(Debug, Default)]
@@ -120,7 +128,7 @@
         self.named_limits.lock().unwrap()
     }
 
-    /// Requests and probes at upstreams that have named a limit.
+    /// Requests and probes at upstreams, in order, as far as they are recorded.
     pub fn arrivals(&self) -> MutexGuard<'_, Vec<Arrival>> {
         self.arrivals.lock().unwrap()
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 //! seeds that run in parallel. The logs of failed seeds are kept, and those of all with
 //! `SOAK_KEEP_LOGS`.
 
+mod answers;
 mod balancer;
 mod caller;
 mod checks;
@@ -112,9 +113,11 @@
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
     let play = crashing::Play::of(seed);
-    let mut cut = None;
+    let (mut cut, mut played) = (None, None);
     if let Some(play) = cuts::Play::of(seed) {
         cut = Some(cuts::play(&env, play).await);
+    } else if let Some(play) = answers::Play::of(seed) {
+        played = Some(answers::play(&env, play).await);
     } else if let Some(play) = limits::Play::of(seed) {
         limits::play(&env, play).await;
     } else if let Some(play) = play {
@@ -143,6 +146,11 @@
         let mut violations = checks::find_violations(&env, steady_from_ms);
         violations.extend(crashing::check(&env));
         violations.extend(cut.iter().flat_map(|cut| cuts::check(&env, cut)));
+        violations.extend(
+            played
+                .iter()
+                .flat_map(|played| answers::check(&env, played)),
+        );
         violations.extend(limits::check(&env, faults_ended_ms));
         violations
     });
--- a/tests/soak/owners.rs
+++ b/tests/soak/owners.rs
@@ -57,6 +57,11 @@
         self.sources.lock().unwrap().insert(source, gateway);
     }
 
+    /// The gateway whose connection a proxy relays from this address.
+    pub fn of_source(&self, source: SocketAddr) -> Option<usize> {
+        self.sources.lock().unwrap().get(&source).copied()
+    }
+
     fn scan_processes(&self) -> Scan {
         let began_at = Some(Instant::now());
         let mut owners = HashMap::new();
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -1,5 +1,7 @@
 //! Stand-in for an upstream with slots, a queue, a warm-up and faults.
 
+mod reply;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -49,6 +51,15 @@
     Frozen,
 }
 
+/// Values of headers that an upstream sends, each in a header of its own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Said {
+    /// `Server-Leaving`, in all answers.
+    pub leaving: &'static [&'static str],
+    /// `Retry-After`, in the 503 by which every second request is then turned away.
+    pub retry_after: &'static [&'static str],
+}
+
 /// Identity and addresses of an upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamConfig {
@@ -74,6 +85,9 @@
     started_at_unix_ms: u64,
     is_gone: AtomicBool,
     limit: Mutex<Option<String>>,
+    said: Mutex<Said>,
+    /// Number of requests that it turned away or could have.
+    turns: AtomicUsize,
 }
 
 /// An upstream with the task that serves it.
@@ -102,6 +116,8 @@
             started_at_unix_ms: unix_ms(),
             is_gone: AtomicBool::new(false),
             limit: Mutex::default(),
+            said: Mutex::default(),
+            turns: AtomicUsize::new(0),
         });
         let listener = bind(upstream.config.address).await;
         let server = Arc::clone(&upstream);
@@ -173,6 +189,11 @@
         Some(limit)
     }
 
+    /// Says this in its answers from now on.
+    pub fn say(&self, said: Said) {
+        *self.said.lock().unwrap() = said;
+    }
+
     /// Makes the upstream cold again.
     pub fn restart_warm_up(&self, env: &TestEnv) {
         self.cold_until_ms
@@ -247,16 +268,36 @@
         if !expected.is_empty() && expected != self.config.id {
             let headers = [("x-request-id", id), ("x-instance-id", &self.config.id)];
             let start_line = "HTTP/1.1 421 Misdirected";
-            return wire::write(stream, start_line, &headers, b"").await.is_ok();
+            return self.write(stream, start_line, &headers, b"").await.is_ok();
         }
         let is_probe = request.start_fields().1 == "/healthz";
-        if self.limit.lock().unwrap().is_some() {
+        let said = *self.said.lock().unwrap();
+        let is_turned_away = !is_probe
+            && !said.retry_after.is_empty()
+            && self.turns.fetch_add(1, Ordering::Relaxed).is_multiple_of(2);
+        if self.limit.lock().unwrap().is_some() || env.owners.is_some() {
+            let source = stream.get_ref().peer_addr().ok();
+            let owners = env.owners.as_ref();
             env.ledger.arrivals().push(Arrival {
                 upstream: self.config.id.clone(),
                 at_ms: env.now_ms(),
                 is_probe,
+                request: id.to_owned(),
+                gateway: owners
+                    .zip(source)
+                    .and_then(|(owners, source)| owners.of_source(source)),
+                is_leaving: said.leaving == ["1"],
+                is_turned_away,
             });
         }
+        if is_turned_away {
+            let mut headers = vec![("x-request-id", id), ("x-not-executed", "1")];
+            headers.extend(said.retry_after.iter().map(|value| ("retry-after", *value)));
+            return self
+                .write(stream, "HTTP/1.1 503 Not now", &headers, b"")
+                .await
+                .is_ok();
+        }
         let load = self.load_header();
         let fault = *self.fault.borrow();
         if is_probe {
@@ -276,13 +317,13 @@
                 ("x-warmup-ms", &cold_ms),
             ];
             headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
-            return wire::write(stream, start_line, &headers, b"").await.is_ok();
+            return self.write(stream, start_line, &headers, b"").await.is_ok();
         }
         let is_full = self.waiting.load(Ordering::Relaxed) >= SLOTS;
         if fault == Fault::ShedsLoad || is_full {
             let headers = [("x-request-id", id), ("x-not-executed", "1")];
             let start_line = "HTTP/1.1 503 Full";
-            return wire::write(stream, start_line, &headers, b"").await.is_ok();
+            return self.write(stream, start_line, &headers, b"").await.is_ok();
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let slot = self.slots.acquire().await;
@@ -302,6 +343,20 @@
         is_connected && self.reply(env, fault, request, stream).await
     }
 
+    /// Writes an answer, with what the upstream says in all of them.
+    async fn write(
+        &self,
+        stream: &mut BufReader<TcpStream>,
+        start_line: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> std::io::Result<()> {
+        let mut headers = headers.to_vec();
+        let leaving = self.said.lock().unwrap().leaving;
+        headers.extend(leaving.iter().map(|value| ("server-leaving", *value)));
+        wire::write(stream, start_line, &headers, body).await
+    }
+
     /// Waits while the upstream is frozen.
     async fn thaw(&self) {
         let mut fault = self.fault.subscribe();
@@ -341,68 +396,4 @@
             () = sleep(time) => true,
         }
     }
-
-    /// Writes the answer as the fault demands. Returns whether the connection stays
-    /// open.
-    async fn reply(
-        &self,
-        env: &TestEnv,
-        fault: Fault,
-        request: &Message,
-        stream: &mut BufReader<TcpStream>,
-    ) -> bool {
-        use tokio::io::AsyncWriteExt;
-        let id = request.header("x-request-id");
-        let (method, target) = request.start_fields();
-        let body = format!(
-            "{id} {method} {target} {}",
-            String::from_utf8_lossy(&request.body)
-        );
-        let limit = self.told_limit(env);
-        let mut headers = vec![
-            ("x-request-id", id),
-            ("x-server-stamp", self.config.id.as_str()),
-        ];
-        headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
-        let ok_line = "HTTP/1.1 200 OK";
-        match fault {
-            Fault::Errors => {
-                let start_line = "HTTP/1.1 500 Failed";
-                wire::write(stream, start_line, &headers, b"failed")
-                    .await
-                    .is_ok()
-            }
-            Fault::LosesAnswers => false,
-            Fault::Truncates => {
-                let text = format!(
-                    "{ok_line}\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ncontent-length: 9999\r\n\r\n{id}"
-                );
-                // The connection closes here even if the write fails.
-                let _ = stream.get_mut().write_all(text.as_bytes()).await;
-                false
-            }
-            Fault::SendsStrayAnswers => {
-                let stray = [("x-request-id", "stray"), ("x-server-stamp", "s")];
-                let written = wire::write(stream, ok_line, &stray, b"stray").await;
-                written.is_ok()
-                    && wire::write(stream, ok_line, &headers, body.as_bytes())
-                        .await
-                        .is_ok()
-            }
-            Fault::SendsEndlessAnswers => {
-                let head = format!(
-                    "{ok_line}\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
-                );
-                let chunk = format!("4000\r\n{}\r\n", "x".repeat(0x4000));
-                let mut is_open = stream.get_mut().write_all(head.as_bytes()).await.is_ok();
-                while is_open {
-                    is_open = stream.get_mut().write_all(chunk.as_bytes()).await.is_ok();
-                }
-                false
-            }
-            _ => wire::write(stream, ok_line, &headers, body.as_bytes())
-                .await
-                .is_ok(),
-        }
-    }
 }
