Share the bounds of the two families of plays in the soak

Cause: both listed their broken bounds and named the same times twice. Change: one function and the same constants; refusals without a return time now count in every play of cuts, not only where all gateways are cut.

--- a/tests/soak/answers.rs
+++ b/tests/soak/answers.rs
@@ -7,7 +7,7 @@
 use strum::{EnumCount, EnumIter, IntoEnumIterator};
 use tokio::time::{Instant, sleep};
 
-use crate::cuts::{self, Tries};
+use crate::cuts::{self, BEFORE, MAX_REFUSAL_MS, Tries};
 use crate::env::TestEnv;
 use crate::faults;
 use crate::ledger::{Arrival, End};
@@ -16,9 +16,7 @@
 
 /// Seeds of the plays. They run by hand, with 13 gateways and 50 callers.
 pub const PLAY_SEEDS: std::ops::Range<u64> = 1_021..1_021 + Play::COUNT as u64;
-/// Times from the start of the callers to the first word, of the play from then on, and from
-/// its end to the end of the checks.
-const BEFORE: Duration = Duration::from_secs(4);
+/// Times of a play from the first word on, and from its end to the end of the checks.
 const PLAY_TIME: Duration = Duration::from_secs(14);
 const AFTER: Duration = Duration::from_secs(10);
 /// Time after a gateway has passed on the word that an upstream leaves, from which on none of
@@ -38,10 +36,8 @@
 const WANTS_NOTHING_MS: u64 = 3_000;
 const HEARD_AFTER_MS: u64 = 500;
 const MAX_UNWANTED: usize = 2;
-/// Least share served while other upstreams have room, and the time in which 95 of 100
-/// refusals must arrive when none has: the users' targets.
+/// Least share served while other upstreams have room: the users' target.
 const MIN_SERVED_SHARE: f64 = 0.97;
-const MAX_REFUSAL_MS: u64 = 150;
 /// Positions of two upstreams, one of each service.
 const TWO: [usize; 2] = [1, 13];
 /// Values that are none; in the last play one upstream says them in `Server-Leaving`, the
@@ -284,8 +280,5 @@
             format!("requests after the return: {returned:?}"),
         ),
     ];
-    let broken = bounds.into_iter().filter(|(is_kept, _)| !is_kept);
-    broken
-        .map(|(_, what)| format!("{play:?}: {what}"))
-        .collect()
+    cuts::broken(play, bounds)
 }
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -22,7 +22,7 @@
 /// Pauses of callers in milliseconds: about 150 requests a second from 50 callers.
 const PAUSES_MS: Range<u64> = 100..480;
 /// Times from the start of the callers to the cut, of the cut, and after it.
-const BEFORE: Duration = Duration::from_secs(4);
+pub const BEFORE: Duration = Duration::from_secs(4);
 const CUT: Duration = Duration::from_secs(10);
 const AFTER: Duration = Duration::from_secs(6);
 /// Times of [`Play::OnAndOff`] with and without links.
@@ -37,7 +37,7 @@
 const MIN_CUT_SHARE: f64 = 0.97;
 const MIN_BACK_SHARE: f64 = 0.99;
 /// Time in which 95 of 100 refusals must arrive if no gateway has links: the users' target.
-const MAX_REFUSAL_MS: u64 = 150;
+pub const MAX_REFUSAL_MS: u64 = 150;
 /// Time for which a restarted gateway is awaited.
 const READY_TIMEOUT: Duration = Duration::from_secs(3);
 const FREEZE_TIME: Duration = Duration::from_secs(2);
@@ -311,33 +311,38 @@
         own.refused_ms.len(),
         own.without_return_time,
     );
-    let mut violations = Vec::new();
-    let mut require = |is_kept: bool, what: String| {
-        if !is_kept {
-            violations.push(format!("{play:?}: {what}"));
-        }
-    };
+    let ratio = own.share() / others.share();
+    let is_refused_soon = refused_ms <= MAX_REFUSAL_MS && !own.refused_ms.is_empty();
+    let has_links = play != Play::AllReset;
     // Comparisons with a share of no requests fail as well.
-    if play == Play::AllReset {
-        require(
-            refused_ms <= MAX_REFUSAL_MS && !own.refused_ms.is_empty(),
+    let bounds = [
+        (
+            !has_links || ratio >= MIN_CUT_SHARE,
+            format!("{ratio:.3} served at the cut gateways"),
+        ),
+        (
+            has_links || is_refused_soon,
             format!("refused after {refused_ms} ms"),
-        );
-        require(
+        ),
+        (
             own.without_return_time == 0,
-            format!("{} refusals without return time", own.without_return_time),
-        );
-    } else {
-        let ratio = own.share() / others.share();
-        require(
-            ratio >= MIN_CUT_SHARE,
-            format!("{ratio:.3} served at the cut gateways"),
-        );
-    }
-    let share = back.share();
-    require(
-        share >= MIN_BACK_SHARE,
-        format!("{share:.3} served after the cut"),
-    );
-    violations
+            "refusals without return time".to_owned(),
+        ),
+        (
+            back.share() >= MIN_BACK_SHARE,
+            format!("{:.3} served after the cut", back.share()),
+        ),
+    ];
+    broken(play, bounds)
+}
+
+/// Descriptions of the bounds of a play that were not kept.
+pub fn broken<const N: usize>(
+    play: impl std::fmt::Debug,
+    bounds: [(bool, String); N],
+) -> Vec<String> {
+    let broken = bounds.into_iter().filter(|(is_kept, _)| !is_kept);
+    broken
+        .map(|(_, what)| format!("{play:?}: {what}"))
+        .collect()
 }
