Believe in lost links only after 250 ms of checks; refuse at once only when sure

A check now has 250 ms, in which a lost packet is sent again and a busy machine answers, and in the first 750 ms without an answer a request that nobody takes tries the upstreams itself, as before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -67,7 +67,7 @@
             AttemptEnd::Refused(refusal) => {
                 return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
             }
-            AttemptEnd::NoContact if gateway.contact.is_cut_off() => {
+            AttemptEnd::NoContact if hand_over::is_certain(gateway) => {
                 let refusal = hand_over::refuse(gateway, call, &service);
                 return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
             }
@@ -119,7 +119,7 @@
     history: &mut AttemptHistory,
     may_hand_over: bool,
 ) -> AttemptEnd {
-    if gateway.contact.is_cut_off() {
+    if may_hand_over && gateway.contact.is_cut_off() {
         return AttemptEnd::NoContact;
     }
     let permit = match run_permit::acquire(gateway, call).await {
@@ -132,7 +132,7 @@
     let choice = tokio::select! {
         biased;
         choice = choice => choice,
-        () = gateway.contact.cut_off() => return AttemptEnd::NoContact,
+        () = gateway.contact.cut_off(), if may_hand_over => return AttemptEnd::NoContact,
     };
     let chosen = match choice {
         Ok(chosen) => chosen,
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -22,6 +22,9 @@
 const SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Time since the last answer up to which a request waits for offers that may still come.
 const YOUNG_CUT_MS: u64 = 600;
+/// Time without an answer from which requests that nobody takes are refused at once;
+/// before, an answer may only be late, and a request still tries the upstreams itself.
+const CERTAIN_CUT_MS: u64 = 750;
 /// Delay before a request looks again for them.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(15);
 /// Time in which a receiver must accept a connection.
@@ -106,6 +109,12 @@
     !contact.has_answered_since(began_ms) && no_answer_ms.is_some_and(|age| age < YOUNG_CUT_MS)
 }
 
+/// Whether requests that no other instance takes are refused at once.
+pub fn is_certain<P: Platform>(gateway: &Gateway<P>) -> bool {
+    let no_answer_ms = gateway.contact.decision().no_answer_ms(gateway.now_ms());
+    gateway.contact.is_cut_off() && no_answer_ms.is_none_or(|age| age >= CERTAIN_CUT_MS)
+}
+
 /// Refuses a request that no instance can serve.
 pub fn refuse<P: Platform>(gateway: &Gateway<P>, call: &Call, service: &str) -> Outcome {
     let retry_after_ms = NOBODY_RETRY_AFTER_MS.min(call.left_ms() / MAX_RETRY_AFTER_SHARE);
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -27,11 +27,12 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Timeout of a check's probe; a packet that is lost is sent again after 200 ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time in which a check answers whether the links work.
-const CHECK_WAIT: Duration = Duration::from_millis(SILENCE_MS + 20);
+/// Time in which one of the probes of a check must be answered; a first packet that is
+/// lost is sent again within it, and busy machines answer within it.
+const CHECK_WAIT: Duration = Duration::from_millis(250);
 
 /// Wait for the result of a check that another attempt began just before.
-const VERDICT_WAIT: Duration = Duration::from_millis(2 * SILENCE_MS);
+const VERDICT_WAIT: Duration = Duration::from_millis(250 + SILENCE_MS);
 
 /// What this instance knows of its links to upstreams.
 #[derive(Debug)]
