Tests of upstreams that say in their answers that they leave

Nothing reads the header on the present code. Four tests are red and listed; three guard what must stay.

--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -41,6 +41,10 @@
     limits: Vec<String>,
     is_silent_in_probes: bool,
     loses_answers: bool,
+    /// Further header lines of all answers.
+    lines: String,
+    /// Header lines of the 503 with which it turns requests and probes away.
+    turns_away: Option<String>,
     first_named: Option<Instant>,
     arrivals: Vec<(Instant, bool)>,
 }
@@ -89,6 +93,31 @@
         self.state.lock().unwrap().loses_answers = true;
     }
 
+    /// Adds these header lines to all answers from now on.
+    pub fn say(&self, lines: &[&str]) {
+        self.state.lock().unwrap().lines = join_lines(lines);
+    }
+
+    /// Turns requests and probes away with these header lines from now on; `None` ends
+    /// that.
+    pub fn turn_away(&self, lines: Option<&[&str]>) {
+        self.state.lock().unwrap().turns_away = lines.map(join_lines);
+    }
+
+    /// When the first request or probe since a time came.
+    pub fn first_arrival_since(&self, since: Instant) -> Option<Instant> {
+        let state = self.state.lock().unwrap();
+        let mut arrivals = state.arrivals.iter().map(|(at, _)| *at);
+        arrivals.find(|at| *at >= since)
+    }
+
+    /// Number of requests and probes in a time.
+    pub fn arrivals_in(&self, time: std::ops::Range<Instant>) -> usize {
+        let state = self.state.lock().unwrap();
+        let arrivals = state.arrivals.iter();
+        arrivals.filter(|(at, _)| time.contains(at)).count()
+    }
+
     /// Largest number of requests and probes in 4 s, from half a second after the limit
     /// was first named.
     pub fn most_arrivals(&self) -> usize {
@@ -138,8 +167,23 @@
             }
             let limits = self.limit_lines(is_probe);
             let id = id_line(&head);
+            let (lines, turns_away) = {
+                let state = self.state.lock().unwrap();
+                (state.lines.clone(), state.turns_away.clone())
+            };
+            if let Some(away) = turns_away {
+                let answer = format!(
+                    "HTTP/1.1 503 Busy\r\n{id}t-not-run: 1\r\nt-upstream: {}\r\n{lines}{away}\
+                     content-length: 0\r\n\r\n",
+                    self.id
+                );
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let answer = format!(
-                "HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\nt-upstream: {}\r\n{load}{limits}\
+                "HTTP/1.1 200 OK\r\n{id}t-stamp: {}\r\nt-upstream: {}\r\n{load}{limits}{lines}\
                  content-length: 4\r\n\r\ngood",
                 self.id, self.id
             );
@@ -295,6 +339,10 @@
     }
 }
 
+fn join_lines(lines: &[&str]) -> String {
+    lines.iter().map(|line| format!("{line}\r\n")).collect()
+}
+
 /// Registers an instance at an address where nothing listens.
 fn write_unreachable(store: &FakeStore, number: usize) {
     let key = format!("instance/gate-{number}");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod server;
 mod store_copy;
 mod upstream;
+mod upstream_answers;
