Tests of upstreams that want nothing for a time

Nothing reads the time in a 503 on the present code. Three tests are red and listed; two guard what must stay.

--- a/tests/gateway/upstream_answers.rs
+++ b/tests/gateway/upstream_answers.rs
@@ -176,3 +176,118 @@
         expect_that!(fleet.upstreams[0].runs_since(since), gt(0), "{lines:?}");
     }
 }
+
+/// The time for which an upstream that turns a request away wants nothing.
+const ASKED_TIME: Duration = Duration::from_secs(3);
+/// Time after an answer in which an instance may still send.
+const REACTION_TIME: Duration = Duration::from_millis(500);
+/// Requests from one instance that the users allow in the rest of the time.
+const MOST_IN_SILENCE: usize = 2;
+const ASKS_SILENCE: &str = "retry-after: 3";
+
+// Guards against requests and probes in the time for which an upstream wants nothing.
+#[gtest]
+#[tokio::test]
+async fn an_upstream_gets_nothing_in_the_time_for_which_it_wants_nothing() {
+    let fleet = LimitedFleet::start(1, 4).await;
+    fleet.upstreams[0].turn_away(Some(&[ASKS_SILENCE]));
+    let began = Instant::now();
+
+    let all = fleet.send_steadily(&[0], 80, ASKED_TIME, &route()).await;
+
+    let first = fleet.upstreams[0].first_arrival_since(began).unwrap();
+    let silence = first + REACTION_TIME..first + ASKED_TIME;
+    expect_that!(fleet.upstreams[0].arrivals_in(silence), le(MOST_IN_SILENCE));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against each instance asking an upstream that wants nothing.
+#[gtest]
+#[tokio::test]
+async fn instances_are_told_which_upstreams_want_nothing() {
+    let fleet = LimitedFleet::start(4, 4).await;
+    fleet.upstreams[0].turn_away(Some(&[ASKS_SILENCE]));
+    let began = Instant::now();
+    fleet.send_steadily(&[0], 80, REACTION_TIME, &route()).await;
+
+    let time = ASKED_TIME - REACTION_TIME * 2;
+    let all = fleet.send_steadily(&[1, 2, 3], 80, time, &route()).await;
+
+    let first = fleet.upstreams[0].first_arrival_since(began).unwrap();
+    let silence = first + REACTION_TIME..first + ASKED_TIME;
+    expect_that!(fleet.upstreams[0].arrivals_in(silence), eq(0));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against silence that an upstream asked for being followed by an ejection or a
+// trial.
+#[gtest]
+#[tokio::test]
+async fn an_upstream_is_used_in_full_after_the_time() {
+    let fleet = LimitedFleet::start(2, 1).await;
+    fleet.upstreams[0].turn_away(Some(&["retry-after: 1"]));
+    fleet.send_steadily(&[0, 1], 40, TELL_TIME, &route()).await;
+    fleet.upstreams[0].turn_away(None);
+    sleep(TELL_TIME * 2).await;
+
+    let all = fleet.send_steadily(&[0, 1], 40, TELL_TIME, &route()).await;
+
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against requests that wait for upstreams all of which want nothing, and against
+// callers that are asked back too early, too late or all at once.
+#[gtest]
+#[tokio::test]
+async fn requests_are_refused_until_the_first_upstream_wants_them_again() {
+    let fleet = LimitedFleet::start(2, 2).await;
+    for upstream in &fleet.upstreams {
+        upstream.turn_away(Some(&[ASKS_SILENCE]));
+    }
+    fleet
+        .send_steadily(&[0, 1], 40, REACTION_TIME, &route())
+        .await;
+
+    let since = Instant::now();
+    let all = fleet.send_steadily(&[0, 1], 40, TELL_TIME, &route()).await;
+
+    for upstream in &fleet.upstreams {
+        expect_that!(upstream.arrivals_in(since..Instant::now()), eq(0));
+    }
+    let mut returns = Vec::new();
+    for ended in &all {
+        expect_that!(ended.status, eq(503), "{ended:?}");
+        expect_that!(ended.took, le(MAX_REFUSAL_TIME), "{ended:?}");
+        // The time began at most half a second before the first of these requests.
+        expect_that!(
+            ended.retry_after,
+            some(ge(ASKED_TIME - TELL_TIME - REACTION_TIME))
+        );
+        expect_that!(ended.retry_after, some(le(ASKED_TIME + TELL_TIME)));
+        returns.extend(ended.retry_after.map(|time| time.as_millis()));
+    }
+    returns.sort_unstable();
+    returns.dedup();
+    expect_that!(returns.len(), gt(all.len() / 10));
+}
+
+// Guards against a value that is no time putting an upstream away.
+#[gtest]
+#[tokio::test]
+async fn an_invalid_time_keeps_no_upstream_from_being_used() {
+    let fleet = LimitedFleet::start(1, 1).await;
+    for line in [
+        "retry-after: -1",
+        "retry-after: NaN",
+        "retry-after: Fri, 04 Dec 2099 12:00:00 GMT",
+    ] {
+        fleet.upstreams[0].turn_away(Some(&[line]));
+        let first = fleet.send_steadily(&[0], 10, REACTION_TIME, &route()).await;
+        expect_that!(served(&first), eq(0));
+        fleet.upstreams[0].turn_away(None);
+        // The longest first pause of an ejected upstream.
+        sleep(TELL_TIME).await;
+        let all = fleet.send_steadily(&[0], 20, TELL_TIME * 2, &route()).await;
+        expect_that!(served(&all), gt(0), "{line}");
+    }
+}
