Heed upstreams that say in their answers that they leave

Cause: only the store's word of draining was read. Change: the header is read in all answers of the upstream itself (not 421, not another's); a table by lifetime, told by push, records and an exchange by digest once a second; requests, also those chosen and connected, are checked right before the send; an unconfirmed notice is checked by one probe after 3 s. If all leave, requests are refused at once. An end after it is no crash evidence.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -18,3 +18,4 @@
 pub mod send_permits;
 pub mod store_reader;
 pub mod traffic_split;
+pub mod upstream_notices;
--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -80,11 +80,17 @@
     });
 }
 
-/// Whether the upstream drains, or has removed its entry and serves for a while.
+/// Whether the upstream drains or says that it leaves, or has removed its entry and serves
+/// for a while.
 fn is_leaving<P: Platform>(gateway: &Gateway<P>, client: &UpstreamClient) -> bool {
     let view = gateway.view();
     let known = view.directory.get(&client.id);
+    let lifetime = client.lifetime();
     known.is_none_or(|upstream| upstream.report.state == UpstreamState::Draining)
+        || gateway
+            .notices
+            .table()
+            .is_leaving(&lifetime.upstream, lifetime.started_at_ms)
 }
 
 /// Records that an upstream answered a request, which refutes a suspicion.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,6 +17,7 @@
 use super::sending::{SendOutcome, send};
 use super::state::Gateway;
 use super::store::Platform;
+use super::unwanted;
 use crate::decision::admission::{Admission, PROBE_AGAIN_DELAY_MS, PendingRequest};
 
 /// Retry delay for callers whose request was held past its deadline, as by an instance
@@ -169,6 +170,9 @@
         if call.left_ms() == 0 {
             return Err(Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS));
         }
+        if let Some(refusal) = unwanted::refuse(gateway, call, service) {
+            return Err(refusal);
+        }
         let tried = &history.tried;
         if let Some(chosen) = limited_choice::choose(gateway, call, service, tried, false).await {
             return Ok(chosen);
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::peer_client::PeerClient;
-use super::rate_limits::AnswerKind;
+use super::rate_limits::{AnswerKind, probe_answer_kind};
 use super::relay::{self, MAX_REPORTS};
 use super::state::Gateway;
 use super::store::Platform;
@@ -22,7 +22,7 @@
 /// Time in which another instance must respond.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Instances with which one exchange is made: a quarter of all, within these bounds.
-const PEERS_PER_EXCHANGE: std::ops::RangeInclusive<usize> = 8..=32;
+pub(super) const PEERS_PER_EXCHANGE: std::ops::RangeInclusive<usize> = 8..=32;
 /// Age of the last confirmation at which a limit is checked by a probe.
 const CHECK_AGE_MS: u64 = 3_000;
 
@@ -85,7 +85,7 @@
 }
 
 /// All other known instances; the seeds while there are none.
-fn other_instances<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
+pub(super) fn other_instances<P: Platform>(gateway: &Gateway<P>) -> Vec<SocketAddr> {
     let settings = gateway.settings();
     let mut others = Vec::new();
     for instance in gateway.view().instances.values() {
@@ -129,7 +129,7 @@
         let (Some(limit), Some(health_path)) = (gateway.limit_of(report), health_path) else {
             continue;
         };
-        if !gateway.is_issuer(&report.id) {
+        if !gateway.is_issuer(&report.id) || !gateway.is_wanted_by(report) {
             continue;
         }
         let rate = gateway.issuing_rate(&report.id, limit.per_s);
@@ -143,6 +143,12 @@
         match client.probe(names, &health_path, &gateway.metrics).await {
             Ok(probed) => {
                 gateway.on_named_limit(&client, probed.named_limit, sent_at, AnswerKind::Probe);
+                gateway.on_notice(
+                    &client,
+                    probed.notice,
+                    sent_at,
+                    probe_answer_kind(&probed.reading),
+                );
                 client.release(probed.connection);
             }
             Err(error) => {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -59,6 +59,8 @@
     pub ejections: Counter,
     /// Upstreams with a limit on the rate of their requests.
     pub limited_upstreams: Gauge<u64, AtomicU64>,
+    /// Upstreams that say that they leave.
+    pub leaving_upstreams: Gauge<u64, AtomicU64>,
     /// Upstreams that ended while a request of this instance was in flight there.
     pub upstream_ends: Counter,
     /// Contents of requests under which upstreams ended.
@@ -97,6 +99,7 @@
             connections_opened: Counter::default(),
             ejections: Counter::default(),
             limited_upstreams: Gauge::default(),
+            leaving_upstreams: Gauge::default(),
             upstream_ends: Counter::default(),
             suspects: Gauge::default(),
             stopped_requests: Gauge::default(),
@@ -145,6 +148,8 @@
         );
         let limited = self.limited_upstreams.clone();
         registry.register("limited_upstreams", "Upstreams that name a limit", limited);
+        let leaving = self.leaving_upstreams.clone();
+        registry.register("leaving_upstreams", "Upstreams that leave", leaving);
         let ends = self.upstream_ends.clone();
         registry.register("upstream_ends", "Upstreams ended under a request", ends);
         let stopped = self.stopped_requests.clone();
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -16,6 +16,7 @@
 use super::view::Extent;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
+use crate::decision::upstream_notices::NoticeReport;
 
 /// Time in which a peer must accept a connection or, beyond the wait of a long
 /// poll, respond.
@@ -43,6 +44,8 @@
     suspects_position: u64,
     /// The same for its limits.
     limits_position: u64,
+    /// The same for its notices of upstreams.
+    notices_position: u64,
 }
 
 impl PeerClient {
@@ -63,6 +66,7 @@
             address,
             suspects_position: 0,
             limits_position: 0,
+            notices_position: 0,
         })
     }
 
@@ -90,6 +94,7 @@
             positions,
             self.suspects_position,
             self.limits_position,
+            self.notices_position,
             wait_ms,
         );
         let response = timeout(wait + RESPONSE_TIMEOUT, request)
@@ -103,9 +108,10 @@
             gateway.extend_lapse_window(response.lapses_left_ms);
         }
         let source = self.address.to_string();
-        // The records may make this instance ready, so the suspects and limits come first.
+        // The records may make this instance ready, so what is known of upstreams comes first.
         gateway.merge_suspects(&response.suspects, &source);
         gateway.merge_limits(&response.limits, &source);
+        gateway.merge_notices(&response.notices, &source);
         for told in response.streams {
             let extent = if told.is_whole_state {
                 Extent::PeerState
@@ -116,6 +122,7 @@
         }
         self.suspects_position = response.suspects_position;
         self.limits_position = response.limits_position;
+        self.notices_position = response.notices_position;
         gateway.set_heard_from_peer();
         Ok(response.is_reader)
     }
@@ -162,6 +169,22 @@
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
+    /// Tells the peer of notices of upstreams, and returns all that it knows; `None` if
+    /// `digest` shows that it is the same.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn exchange_notices(
+        &self,
+        reports: Vec<NoticeReport>,
+        digest: u64,
+    ) -> Result<Option<Vec<NoticeReport>>, RelayError> {
+        let request = self
+            .client
+            .exchange_notices(context::current(), reports, digest);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
     /// Asks the peer for a permit to send one request to a limited upstream.
     ///
     /// # Errors
--- a/src/gateway/peer_push.rs
+++ b/src/gateway/peer_push.rs
@@ -1,5 +1,5 @@
 //! Tells other instances at once what they must know: requests under which upstreams
-//! ended, and limits that upstreams name.
+//! ended, limits that upstreams name, and upstreams that take no requests.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,6 +29,8 @@
     Suspect(u64),
     /// The limit of this upstream.
     Limit(Arc<str>),
+    /// What this upstream says about whether it takes requests.
+    Notice(Arc<str>),
 }
 
 /// Tells other instances, in the background, what this one knows.
@@ -75,6 +77,17 @@
             gateway.merge_limits(&known, &address.to_string());
             Ok(())
         }
+        News::Notice(upstream) => {
+            let reports: Vec<_> = gateway.notice_report(upstream).into_iter().collect();
+            let digest = gateway.notices.table().digest();
+            let call = |client: PeerClient| {
+                let reports = reports.clone();
+                async move { client.exchange_notices(reports, digest).await }
+            };
+            let known = gateway.peers.call(address, PUSH_TIMEOUT, call).await?;
+            gateway.merge_notices(&known.unwrap_or_default(), &address.to_string());
+            Ok(())
+        }
     }
 }
 
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::calls::{Call, to_ms};
-use super::rate_limits::AnswerKind;
+use super::rate_limits::{AnswerKind, probe_answer_kind};
 use super::state::Gateway;
 use super::store::Platform;
 use super::upstream_client::{ProbeError, ProbeResponse, UpstreamClient, evidence_of};
@@ -217,6 +217,9 @@
     health_path: Arc<str>,
     locality: Locality,
 ) -> Option<ProbedUpstream> {
+    if !gateway.is_wanted_by(&upstream.report) {
+        return None;
+    }
     let names = gateway.platform.headers();
     let sent_at = Instant::now();
     let probed = client.probe(names, &health_path, &gateway.metrics).await;
@@ -224,6 +227,7 @@
         connection,
         reading,
         named_limit,
+        notice,
     } = match probed {
         Ok(probed) => probed,
         Err(error) => {
@@ -232,6 +236,7 @@
         }
     };
     gateway.on_named_limit(&client, named_limit, sent_at, AnswerKind::Probe);
+    gateway.on_notice(&client, notice, sent_at, probe_answer_kind(&reading));
     let is_local = upstream.report.data_centre == gateway.settings().data_centre;
     let is_cold = reading.cold_left_ms > 0;
     let mut cost = cost(&reading, locality, is_local);
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -15,6 +15,7 @@
 use crate::decision::rate_limits::{
     InvalidLimit, LimitChange, LimitReport, RateLimit, RateLimits, Statement, parse_limits,
 };
+use crate::decision::selection::Reading;
 use crate::decision::send_permits::SendPermits;
 
 /// What kind of answer a response of an upstream is.
@@ -28,6 +29,16 @@
     Probe,
 }
 
+/// The kind of a probe's answer: an upstream that is unwell has rejected the probe.
+#[must_use]
+pub fn probe_answer_kind(reading: &Reading) -> AnswerKind {
+    if reading.is_healthy {
+        AnswerKind::Probe
+    } else {
+        AnswerKind::Rejection
+    }
+}
+
 /// The limit that a response names, as it is read from its headers.
 pub type NamedLimit = Result<Option<f64>, InvalidLimit>;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,5 +1,5 @@
 //! RPC by which instances fetch store records from each other and share what they
-//! know of requests that end upstreams and of the limits of upstreams.
+//! know of requests that end upstreams and of what upstreams say of themselves.
 //!
 //! Records keep their offsets in the store's streams, so any instance can serve
 //! them. [`super::reader_role`] decides which peer an instance fetches from.
@@ -23,13 +23,14 @@
 use super::store::{Platform, Records, Stream};
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
+use crate::decision::upstream_notices::NoticeReport;
 
 /// Longest time for which a peer may let a request wait for records.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(5);
 /// Streams that instances fetch from each other.
 pub const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
 
-/// Most reports of suspects, and of limits, in one response.
+/// Most reports of suspects, of limits, and of notices in one response.
 pub const MAX_REPORTS: usize = 256;
 
 /// How far an instance has read a stream.
@@ -72,6 +73,10 @@
     pub limits: Vec<LimitReport>,
     /// Position after them.
     pub limits_position: u64,
+    /// Notices of upstreams that changed after the requester's position, at most 256.
+    pub notices: Vec<NoticeReport>,
+    /// Position after them.
+    pub notices_position: u64,
 }
 
 /// Response to [`Relay::acquire_run`].
@@ -92,6 +97,7 @@
         positions: Vec<StreamPosition>,
         suspects_position: u64,
         limits_position: u64,
+        notices_position: u64,
         wait_ms: u64,
     ) -> RecordsResponse;
 
@@ -111,6 +117,11 @@
     /// the requester knows the same, as `digest` shows.
     async fn exchange_limits(reports: Vec<LimitReport>, digest: u64) -> Vec<LimitReport>;
 
+    /// Tells this instance of notices of upstreams, and returns all that it knows; `None` if
+    /// the requester knows the same, as `digest` shows.
+    async fn exchange_notices(reports: Vec<NoticeReport>, digest: u64)
+    -> Option<Vec<NoticeReport>>;
+
     /// Asks for a permit to send one request to a limited upstream.
     async fn acquire_send(ask: PermitAsk) -> PermitAnswer;
 
@@ -140,10 +151,16 @@
         positions: Vec<StreamPosition>,
         suspects_position: u64,
         limits_position: u64,
+        notices_position: u64,
         wait_ms: u64,
     ) -> RecordsResponse {
         let gateway = &self.gateway;
-        let missing = || missing_records(gateway, &positions, suspects_position, limits_position);
+        let told = ToldPositions {
+            suspects: suspects_position,
+            limits: limits_position,
+            notices: notices_position,
+        };
+        let missing = || missing_records(gateway, &positions, told);
         let mut changes = gateway.watch_changes();
         let mut response = missing();
         let wait = Duration::from_millis(wait_ms).min(MAX_LONG_POLL_WAIT);
@@ -196,6 +213,21 @@
         limits.reports_after(0, MAX_REPORTS, gateway.now_ms()).0
     }
 
+    async fn exchange_notices(
+        self,
+        _: context::Context,
+        reports: Vec<NoticeReport>,
+        digest: u64,
+    ) -> Option<Vec<NoticeReport>> {
+        let gateway = &self.gateway;
+        gateway.merge_notices(&reports, "another instance");
+        let notices = gateway.notices.table();
+        if notices.digest() == digest {
+            return None;
+        }
+        Some(notices.reports_after(0, MAX_REPORTS, gateway.now_ms()).0)
+    }
+
     async fn acquire_send(self, _: context::Context, ask: PermitAsk) -> PermitAnswer {
         send_permit::answer(&self.gateway, ask).await
     }
@@ -219,15 +251,25 @@
 
 impl RecordsResponse {
     fn is_empty(&self) -> bool {
-        self.streams.is_empty() && self.suspects.is_empty() && self.limits.is_empty()
+        self.streams.is_empty()
+            && self.suspects.is_empty()
+            && self.limits.is_empty()
+            && self.notices.is_empty()
     }
 }
 
+/// Positions up to which the requester knows what this instance knows of upstreams.
+#[derive(Clone, Copy)]
+struct ToldPositions {
+    suspects: u64,
+    limits: u64,
+    notices: u64,
+}
+
 fn missing_records<P: Platform>(
     gateway: &Gateway<P>,
     positions: &[StreamPosition],
-    suspects_position: u64,
-    limits_position: u64,
+    told: ToldPositions,
 ) -> RecordsResponse {
     let view = gateway.view();
     let mut streams = Vec::new();
@@ -252,16 +294,19 @@
     drop(view);
     let now_ms = gateway.now_ms();
     let suspects = gateway.suspects.table();
-    let (suspects, suspects_position) =
-        suspects.reports_after(suspects_position, MAX_REPORTS, now_ms);
+    let (suspects, suspects_position) = suspects.reports_after(told.suspects, MAX_REPORTS, now_ms);
     let limits = gateway.limits.table();
-    let (limits, limits_position) = limits.reports_after(limits_position, MAX_REPORTS, now_ms);
+    let (limits, limits_position) = limits.reports_after(told.limits, MAX_REPORTS, now_ms);
+    let notices = gateway.notices.table();
+    let (notices, notices_position) = notices.reports_after(told.notices, MAX_REPORTS, now_ms);
     RecordsResponse {
         streams,
         suspects,
         suspects_position,
         limits,
         limits_position,
+        notices,
+        notices_position,
         is_reader: gateway.is_active_reader(),
         lapses_left_ms: gateway.lapse_window_left_ms(),
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,9 @@
 use super::state::Gateway;
 use super::store::{Platform, Stream};
 use super::supervisor::keep_running;
-use super::{follower, limit_exchange, lost_records, reader_role, relay, suspect_records};
+use super::{
+    follower, limit_exchange, lost_records, notice_exchange, reader_role, relay, suspect_records,
+};
 use crate::process::run::RunError;
 
 /// Time for which a stopping instance still accepts connections: the balancer
@@ -123,6 +125,7 @@
     spawn(gateway, "register", follower::register_instance);
     spawn(gateway, "stored-suspects", suspect_records::keep_stored);
     spawn(gateway, "limits", limit_exchange::run);
+    spawn(gateway, "notices", notice_exchange::run);
     spawn(gateway, "lost-records", lost_records::rewrite);
     spawn(gateway, "expiry", remove_expired);
 }
@@ -159,6 +162,7 @@
         gateway
             .limits
             .expire(now_ms, |id| view.directory.get(id).is_some());
+        gateway.expire_notices(|id| view.directory.get(id).is_some());
         gateway.peers.retain(|address| {
             let instances = view.instances.values();
             instances
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -16,6 +16,7 @@
 use super::state::{Gateway, RouteMeans};
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
+use super::upstream_notices::read_notice;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::decision::ejection::Evidence;
 use crate::decision::selection::{Reading, USUAL_SPEED_PERCENT, expected_ms};
@@ -105,6 +106,19 @@
             return SendOutcome::Unsent;
         }
     };
+    if !gateway.is_wanted_by(&chosen.upstream.report) {
+        if gateway.log_budget.take() {
+            tracing::info!(
+                request = call.id_text(),
+                upstream = %client.id,
+                "request not sent: the upstream takes none now"
+            );
+        }
+        guard.is_finished = true;
+        client.ejection().on_abandoned();
+        client.release(connection);
+        return SendOutcome::Unsent;
+    }
     if permit.as_mut().is_some_and(|permit| !permit.try_use()) {
         tracing::info!(
             request = call.id_text(),
@@ -127,7 +141,7 @@
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
         Some(Ok(response)) => {
-            note_limit(gateway, &client, &response, sent_at);
+            note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response);
             if call.id.is_some() {
@@ -192,9 +206,9 @@
     }
 }
 
-/// Records what a response says of its upstream's limit; a response of another process
-/// than the expected one says nothing.
-fn note_limit<P: Platform>(
+/// Records what a response says of its upstream; a response of another process than the
+/// expected one says nothing.
+fn note_statements<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     client: &UpstreamClient,
     response: &HttpResponse,
@@ -211,6 +225,8 @@
     };
     let limit = read_limit(&response.headers, &names.rate_limit);
     gateway.on_named_limit(client, limit, sent_at, kind);
+    let notice = read_notice(response, names, &client.id);
+    gateway.on_notice(client, notice, sent_at, kind);
 }
 
 /// Decides whether a response shows that the request ran, and records it in the
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::store::{Platform, Records, Stream};
 use super::suspects::SuspectState;
 use super::upstream_client::UpstreamClients;
+use super::upstream_notices::NoticeState;
 use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
@@ -85,6 +86,8 @@
     pub peers: Peers,
     /// Rates that upstreams take from the whole fleet.
     pub limits: LimitState,
+    /// What upstreams say about whether they take requests.
+    pub notices: NoticeState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -126,6 +129,7 @@
             suspects: SuspectState::default(),
             peers: Peers::default(),
             limits: LimitState::default(),
+            notices: NoticeState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
@@ -437,9 +441,18 @@
         lock(&self.probe_budget).acquire_up_to(service, limit, wanted, self.now_ms())
     }
 
-    /// Ready upstreams of a service, without those in evacuated data centres.
+    /// Ready upstreams of a service, without those in evacuated data centres and those that
+    /// say that they take no requests.
     #[must_use]
     pub fn eligible_upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let mut upstreams = self.ready_upstreams(service);
+        upstreams.retain(|upstream| self.is_wanted_by(&upstream.report));
+        upstreams
+    }
+
+    /// Ready upstreams of a service, without those in evacuated data centres.
+    #[must_use]
+    pub fn ready_upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
         let view = self.view();
         let mut upstreams = Vec::new();
         for upstream in view.directory.ready_upstreams(service) {
@@ -461,6 +474,7 @@
         let report = &upstream.report;
         view.directory.may_send(report, is_healthy, now_ms)
             && !view.evacuated.contains(&report.data_centre)
+            && self.is_wanted_by(report)
     }
 
     /// The moving averages of a route.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -104,6 +104,8 @@
     pub cold_left_ms: HeaderName,
     /// Requests per second that an upstream takes from all instances together.
     pub rate_limit: HeaderName,
+    /// Says whether the upstream leaves: 1 if so.
+    pub leaving: HeaderName,
     /// Proves that an upstream, not an intermediary, made the response.
     pub stamp: HeaderName,
 }
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -15,6 +15,7 @@
 use super::metrics::Metrics;
 use super::rate_limits::{NamedLimit, read_limit};
 use super::store::HeaderNames;
+use super::upstream_notices::{ReadNotice, read_notice};
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::crash_suspects::UpstreamLifetime;
@@ -87,6 +88,8 @@
     pub reading: Reading,
     /// The limit that the response names.
     pub named_limit: NamedLimit,
+    /// What it says about whether the upstream takes requests.
+    pub notice: Option<ReadNotice>,
 }
 
 /// Client of one upstream process.
@@ -298,6 +301,7 @@
             connection,
             reading: self.parse_reading(names, response)?,
             named_limit: read_limit(&response.headers, &names.rate_limit),
+            notice: read_notice(response, names, &self.id),
         })
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -71,6 +71,7 @@
                 upstream: HeaderName::from_static("x-instance-id"),
                 cold_left_ms: HeaderName::from_static("x-warmup-ms"),
                 rate_limit: HeaderName::from_static("server-limit"),
+                leaving: HeaderName::from_static("server-leaving"),
                 stamp: HeaderName::from_static("x-server-stamp"),
             },
             idle_connections: Mutex::default(),
