Heed the time for which an upstream wants nothing

Cause: the time in a 503 was not read; its upstream was probed and asked on, and after two 503 ejected. Change: the time of an upstream's own 503 (cut at 30 s, invalid values ignored) joins the notices: no request and no probe from any instance that was told, no evidence for ejection, return up to 0.3 s later by chance.

--- a/src/decision/ejection.rs
+++ b/src/decision/ejection.rs
@@ -28,6 +28,8 @@
     Failed,
     /// The upstream rejected a request although it had reported free capacity.
     Shed,
+    /// The upstream rejected a request and wants nothing for a time.
+    TurnedAway,
     /// The upstream could not be reached: no connection could be opened, or
     /// another upstream responds at its address.
     Unreachable,
@@ -95,6 +97,7 @@
                 false
             }
             Evidence::Failed | Evidence::Shed => self.on_failure(now_ms),
+            Evidence::TurnedAway => false,
             Evidence::Unreachable => {
                 let pause_ms = backoff_ms(MIN_UNREACHABLE_PAUSE_MS, self.unreachable_in_row)
                     .min(MAX_UNREACHABLE_PAUSE_MS);
--- a/src/decision/upstream_notices.rs
+++ b/src/decision/upstream_notices.rs
@@ -1,14 +1,17 @@
-//! What upstreams say about whether they take requests: that they leave.
+//! What upstreams say about whether they take requests: that they leave, or want none for
+//! a time.
 //!
 //! A notice belongs to one life of the upstream's process. Answers overtake each other,
 //! so each has an interval in which the upstream wrote it: from the send of its request
 //! to its arrival. That an upstream no longer leaves is believed only if the request was
 //! sent clearly after it last said that it does, so no order of answers and reports ends
-//! a notice too early.
+//! a notice too early. Of several times in which an upstream wants nothing, the one that
+//! ends last counts.
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -24,12 +27,22 @@
 /// request whose answer ends that; more than reports take between instances.
 const END_MARGIN_MS: i64 = 1_000;
 
+/// Longest time for which an upstream is believed to want nothing, in milliseconds: a wrong
+/// unit or a slip must not put it away, and one that still wants nothing says so again.
+const MAX_SILENCE_MS: u64 = 30_000;
+/// Extension of that time that other instances are told of, in milliseconds; the answers to
+/// requests in flight together each extend it a little.
+const MIN_EXTENSION_MS: i64 = 100;
+
 /// Why the value of a header is unusable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidNotice {
     /// The values that an upstream leaves.
     #[error("whether an upstream leaves must be 1 or 0, in all values the same")]
     Leaving,
+    /// The values of the time for which an upstream wants nothing.
+    #[error("the time for which an upstream wants nothing must be a decimal number of seconds")]
+    Silence,
 }
 
 /// Parses the values of all headers of one response that say whether the upstream leaves;
@@ -53,6 +66,54 @@
     Ok(known.unwrap_or(false))
 }
 
+/// Parses the values of all headers of one response that say for how long its upstream
+/// wants nothing, and returns the longest valid time in milliseconds; `None` if there is no
+/// header.
+///
+/// # Errors
+/// Returns an error if there are values but none is valid.
+pub fn parse_silence_ms<'v>(
+    values: impl Iterator<Item = &'v [u8]>,
+) -> Result<Option<u64>, InvalidNotice> {
+    let mut longest_ms = None;
+    let mut has_values = false;
+    for value in values {
+        has_values = true;
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        for part in text.split(',') {
+            longest_ms = longest_ms.max(parse_time_ms(part.trim()));
+        }
+    }
+    if has_values && longest_ms.is_none() {
+        return Err(InvalidNotice::Silence);
+    }
+    Ok(longest_ms)
+}
+
+fn parse_time_ms(text: &str) -> Option<u64> {
+    let is_decimal = text
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let time_s: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    // More digits than a number holds are a huge time, which is cut as well.
+    let max_s = Duration::from_millis(MAX_SILENCE_MS).as_secs_f64();
+    let time = Duration::try_from_secs_f64(time_s.min(max_s)).ok()?;
+    u64::try_from(time.as_millis()).ok()
+}
+
+/// That an upstream wants nothing for a time, as its answer said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Names this answer among all.
+    pub id: u64,
+    /// For how long, in milliseconds.
+    pub for_ms: u64,
+    /// When the answer arrived.
+    pub received_ms: u64,
+    /// How much later this instance returns, in milliseconds, so that not all do at once.
+    pub return_delay_ms: u64,
+}
+
 /// What one answer of an upstream said about its leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Statement {
@@ -72,6 +133,8 @@
     Leaving,
     /// The upstream does not leave any more.
     Staying,
+    /// The upstream wants nothing for a time.
+    Silence,
     /// All is as before.
     None,
 }
@@ -83,6 +146,19 @@
     pub lifetime: UpstreamLifetime,
     /// Whether it leaves; `None` if it never said so.
     pub leaving: Option<LeavingReport>,
+    /// For how long it wants nothing; `None` if it takes requests.
+    pub silence: Option<SilenceReport>,
+}
+
+/// What an instance knows of the time in which one upstream wants nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilenceReport {
+    /// Names the answer that said so.
+    pub id: u64,
+    /// Time since that answer arrived, in milliseconds.
+    pub age_ms: u64,
+    /// What is left of the time, in milliseconds.
+    pub left_ms: u64,
 }
 
 /// What an instance knows of the leaving of one upstream.
@@ -103,10 +179,21 @@
     received_ms: i64,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KnownSilence {
+    id: u64,
+    received_ms: i64,
+    until_ms: i64,
+    /// End that other instances were told.
+    told_until_ms: i64,
+    return_delay_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     started_at_ms: u64,
     leaving: Option<Leaving>,
+    silence: Option<KnownSilence>,
     changed_at: u64,
 }
 
@@ -131,6 +218,28 @@
         entries.filter(|entry| entry.is_leaving()).count()
     }
 
+    /// Number of upstreams that want nothing now.
+    #[must_use]
+    pub fn quiet(&self, now_ms: u64) -> usize {
+        let entries = self.by_upstream.values();
+        entries.filter(|entry| entry.is_quiet(now_ms)).count()
+    }
+
+    /// Whether a notice of any upstream is in force.
+    #[must_use]
+    pub fn has_any(&self, now_ms: u64) -> bool {
+        let mut entries = self.by_upstream.values();
+        entries.any(|entry| entry.is_leaving() || entry.is_quiet(now_ms))
+    }
+
+    /// Time until this instance may send to an upstream process that wants nothing, in
+    /// milliseconds; 0 if it may now.
+    #[must_use]
+    pub fn silence_left_ms(&self, upstream: &str, started_at_ms: u64, now_ms: u64) -> u64 {
+        let entry = self.entry(upstream, started_at_ms);
+        entry.map_or(0, |entry| entry.silence_left_ms(now_ms))
+    }
+
     /// Whether an upstream process leaves.
     #[must_use]
     pub fn is_leaving(&self, upstream: &str, started_at_ms: u64) -> bool {
@@ -170,7 +279,66 @@
         self.apply_leaving(lifetime, new)
     }
 
-    /// Applies what another instance knows.
+    /// Applies that an upstream wants nothing for a time.
+    pub fn on_silence(&mut self, lifetime: &UpstreamLifetime, silence: Silence) -> NoticeChange {
+        if silence.for_ms == 0 {
+            return NoticeChange::None;
+        }
+        let received_ms = to_i64(silence.received_ms);
+        let until_ms = received_ms.saturating_add(to_i64(silence.for_ms.min(MAX_SILENCE_MS)));
+        let new = KnownSilence {
+            id: silence.id,
+            received_ms,
+            until_ms,
+            told_until_ms: until_ms,
+            return_delay_ms: silence.return_delay_ms,
+        };
+        self.apply_silence(lifetime, new)
+    }
+
+    /// Applies what another instance knows of the time in which an upstream wants nothing;
+    /// this one returns `return_delay_ms` later.
+    pub fn merge_silence(
+        &mut self,
+        report: &NoticeReport,
+        return_delay_ms: u64,
+        now_ms: u64,
+    ) -> NoticeChange {
+        let Some(silence) = report.silence.filter(|silence| silence.left_ms > 0) else {
+            return NoticeChange::None;
+        };
+        let left_ms = to_i64(silence.left_ms.min(MAX_SILENCE_MS));
+        let until_ms = to_i64(now_ms).saturating_add(left_ms);
+        let new = KnownSilence {
+            id: silence.id,
+            received_ms: to_i64(now_ms).saturating_sub(to_i64(silence.age_ms)),
+            until_ms,
+            told_until_ms: until_ms,
+            return_delay_ms,
+        };
+        self.apply_silence(&report.lifetime, new)
+    }
+
+    fn apply_silence(&mut self, lifetime: &UpstreamLifetime, new: KnownSilence) -> NoticeChange {
+        let Some(entry) = self.entry_of_process(lifetime) else {
+            return NoticeChange::None;
+        };
+        if let Some(known) = &mut entry.silence {
+            // What comes back by another instance has aged on the way.
+            if known.id == new.id || known.until_ms >= new.until_ms {
+                return NoticeChange::None;
+            }
+            if new.until_ms < known.told_until_ms.saturating_add(MIN_EXTENSION_MS) {
+                known.until_ms = new.until_ms;
+                return NoticeChange::None;
+            }
+        }
+        entry.silence = Some(new);
+        self.on_change(&lifetime.upstream);
+        NoticeChange::Silence
+    }
+
+    /// Applies what another instance knows of the leaving of an upstream.
     pub fn merge(&mut self, report: &NoticeReport, now_ms: u64) -> NoticeChange {
         let at = |age_ms| to_i64(now_ms).saturating_sub(to_i64(age_ms));
         let Some(leaving) = report.leaving else {
@@ -233,6 +401,7 @@
             let entry = Entry {
                 started_at_ms,
                 leaving: None,
+                silence: None,
                 changed_at: 0,
             };
             self.by_upstream.insert(Arc::clone(upstream), entry);
@@ -269,6 +438,14 @@
                 sent_age_ms: age_ms(leaving.sent_ms),
                 received_age_ms: age_ms(leaving.received_ms),
             }),
+            silence: entry.silence.and_then(|silence| {
+                let left_ms = to_u64(silence.until_ms.saturating_sub(to_i64(now_ms)));
+                (left_ms > 0).then(|| SilenceReport {
+                    id: silence.id,
+                    age_ms: age_ms(silence.received_ms),
+                    left_ms,
+                })
+            }),
         })
     }
 
@@ -303,19 +480,26 @@
             return format!("{upstream} unknown");
         };
         let age_ms = to_i64(now_ms).saturating_sub(entry.heard_ms());
-        format!("{upstream} leaving={} age_ms={age_ms}", entry.is_leaving())
+        let left_ms = entry.silence_left_ms(now_ms);
+        format!(
+            "{upstream} leaving={} quiet_for_ms={left_ms} age_ms={age_ms}",
+            entry.is_leaving()
+        )
     }
 
     /// A hash of the notices in force, which is the same for instances that know the same.
     #[must_use]
-    pub fn digest(&self) -> u64 {
+    pub fn digest(&self, now_ms: u64) -> u64 {
         let mut digest = 0_u64;
         for (upstream, entry) in &self.by_upstream {
-            if !entry.is_leaving() {
+            let silence = entry.silence.filter(|_| entry.is_quiet(now_ms));
+            let silence_id = silence.map(|silence| silence.id);
+            if !entry.is_leaving() && silence_id.is_none() {
                 continue;
             }
             let mut hasher = DefaultHasher::new();
-            (upstream, entry.started_at_ms).hash(&mut hasher);
+            let facts = (entry.started_at_ms, entry.is_leaving(), silence_id);
+            (upstream, facts).hash(&mut hasher);
             digest = digest.wrapping_add(hasher.finish());
         }
         digest
@@ -345,9 +529,24 @@
         self.leaving.is_some_and(|leaving| leaving.is_leaving)
     }
 
+    fn is_quiet(&self, now_ms: u64) -> bool {
+        self.silence_left_ms(now_ms) > 0
+    }
+
+    fn silence_left_ms(&self, now_ms: u64) -> u64 {
+        self.silence.map_or(0, |silence| {
+            let until_ms = silence
+                .until_ms
+                .saturating_add(to_i64(silence.return_delay_ms));
+            to_u64(until_ms.saturating_sub(to_i64(now_ms)))
+        })
+    }
+
     /// When the upstream last said something of importance.
     fn heard_ms(&self) -> i64 {
-        self.leaving.map_or(i64::MIN, |leaving| leaving.received_ms)
+        let left_ms = self.leaving.map(|leaving| leaving.received_ms);
+        let quiet_ms = self.silence.map(|silence| silence.received_ms);
+        left_ms.max(quiet_ms).unwrap_or(i64::MIN)
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -80,7 +80,8 @@
             }
             SendOutcome::Unsent | SendOutcome::NotRun => history.correct_refusal(Outcome::refused(
                 Reason::Refused,
-                retry_after_ms(gateway, call),
+                unwanted::return_ms(gateway, &service)
+                    .unwrap_or_else(|| retry_after_ms(gateway, call)),
             )),
             SendOutcome::Failed(reason) => {
                 history.may_have_run = true;
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -22,7 +22,7 @@
 /// Time in which another instance must respond.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Instances with which one exchange is made: a quarter of all, within these bounds.
-pub(super) const PEERS_PER_EXCHANGE: std::ops::RangeInclusive<usize> = 8..=32;
+const PEERS_PER_EXCHANGE: std::ops::RangeInclusive<usize> = 8..=32;
 /// Age of the last confirmation at which a limit is checked by a probe.
 const CHECK_AGE_MS: u64 = 3_000;
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -61,6 +61,8 @@
     pub limited_upstreams: Gauge<u64, AtomicU64>,
     /// Upstreams that say that they leave.
     pub leaving_upstreams: Gauge<u64, AtomicU64>,
+    /// Upstreams that want nothing for a time.
+    pub quiet_upstreams: Gauge<u64, AtomicU64>,
     /// Upstreams that ended while a request of this instance was in flight there.
     pub upstream_ends: Counter,
     /// Contents of requests under which upstreams ended.
@@ -100,6 +102,7 @@
             ejections: Counter::default(),
             limited_upstreams: Gauge::default(),
             leaving_upstreams: Gauge::default(),
+            quiet_upstreams: Gauge::default(),
             upstream_ends: Counter::default(),
             suspects: Gauge::default(),
             stopped_requests: Gauge::default(),
@@ -150,6 +153,8 @@
         registry.register("limited_upstreams", "Upstreams that name a limit", limited);
         let leaving = self.leaving_upstreams.clone();
         registry.register("leaving_upstreams", "Upstreams that leave", leaving);
+        let quiet = self.quiet_upstreams.clone();
+        registry.register("quiet_upstreams", "Upstreams that want nothing now", quiet);
         let ends = self.upstream_ends.clone();
         registry.register("upstream_ends", "Upstreams ended under a request", ends);
         let stopped = self.stopped_requests.clone();
--- a/src/gateway/notice_exchange.rs
+++ b/src/gateway/notice_exchange.rs
@@ -9,7 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep};
 
-use super::limit_exchange::{PEERS_PER_EXCHANGE, other_instances};
+use super::limit_exchange::other_instances;
 use super::peer_client::PeerClient;
 use super::rate_limits::probe_answer_kind;
 use super::relay::MAX_REPORTS;
@@ -24,6 +24,9 @@
 const STANDSTILL_TIME: Duration = Duration::from_millis(1_500);
 /// Time in which another instance must respond.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Instances with which one exchange is made. Most are told at once; what an instance has
+/// missed reaches it from one of these, and in a fleet of 140 all know within 4 s.
+const PEERS_PER_EXCHANGE: usize = 3;
 /// Age of the last confirmation at which one instance checks by a probe whether an
 /// upstream still leaves: most have ended by then.
 const CHECK_AGE_MS: u64 = 3_000;
@@ -36,7 +39,8 @@
         let began = Instant::now();
         sleep(EXCHANGE_INTERVAL).await;
         let stood_still = began.elapsed() > STANDSTILL_TIME;
-        if stood_still || !gateway.notices.table().is_empty() {
+        let now_ms = gateway.now_ms();
+        if stood_still || gateway.notices.table().has_any(now_ms) {
             exchange(&gateway).await;
             check_leaving(&gateway).await;
         }
@@ -45,8 +49,8 @@
 
 async fn exchange<P: Platform>(gateway: &Arc<Gateway<P>>) {
     let others = other_instances(gateway);
-    let count = (others.len() / 4).clamp(*PEERS_PER_EXCHANGE.start(), *PEERS_PER_EXCHANGE.end());
-    let sampled: Vec<SocketAddr> = others.sample(&mut rand::rng(), count).copied().collect();
+    let sampled = others.sample(&mut rand::rng(), PEERS_PER_EXCHANGE);
+    let sampled: Vec<SocketAddr> = sampled.copied().collect();
     let exchanges = sampled.into_iter();
     join_all(exchanges.map(|address| exchange_with(gateway, address))).await;
 }
@@ -55,7 +59,7 @@
 async fn exchange_with<P: Platform>(gateway: &Arc<Gateway<P>>, address: SocketAddr) {
     let mut reports = Vec::new();
     for _ in 0..2 {
-        let digest = gateway.notices.table().digest();
+        let digest = gateway.notices.table().digest(gateway.now_ms());
         let call = |client: PeerClient| {
             let reports = reports.clone();
             async move { client.exchange_notices(reports, digest).await }
@@ -93,6 +97,9 @@
                 continue;
             };
             let started_at_ms = upstream.report.started_at_ms;
+            if notices.silence_left_ms(id, started_at_ms, now_ms) > 0 {
+                continue;
+            }
             let Some(confirmed_ms) = notices.leaving_confirmed_ms(id, started_at_ms) else {
                 continue;
             };
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -32,6 +32,8 @@
     NoRoom,
     /// All upstreams that it may use are at the rates that they name.
     RateLimited,
+    /// All upstreams that it may use leave, or want nothing for a time.
+    TurnedAway,
     /// Every upstream that was tried refused the request without running it.
     Refused,
     /// Upstreams ended while they ran the request, so it is not run again.
@@ -57,6 +59,7 @@
             | Self::NoUpstream
             | Self::NoRoom
             | Self::RateLimited
+            | Self::TurnedAway
             | Self::Refused
             | Self::CrashesUpstreams
             | Self::CopyRunning
--- a/src/gateway/peer_push.rs
+++ b/src/gateway/peer_push.rs
@@ -79,7 +79,7 @@
         }
         News::Notice(upstream) => {
             let reports: Vec<_> = gateway.notice_report(upstream).into_iter().collect();
-            let digest = gateway.notices.table().digest();
+            let digest = gateway.notices.table().digest(gateway.now_ms());
             let call = |client: PeerClient| {
                 let reports = reports.clone();
                 async move { client.exchange_notices(reports, digest).await }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -221,11 +221,12 @@
     ) -> Option<Vec<NoticeReport>> {
         let gateway = &self.gateway;
         gateway.merge_notices(&reports, "another instance");
+        let now_ms = gateway.now_ms();
         let notices = gateway.notices.table();
-        if notices.digest() == digest {
+        if notices.digest(now_ms) == digest {
             return None;
         }
-        Some(notices.reports_after(0, MAX_REPORTS, gateway.now_ms()).0)
+        Some(notices.reports_after(0, MAX_REPORTS, now_ms).0)
     }
 
     async fn acquire_send(self, _: context::Context, ask: PermitAsk) -> PermitAnswer {
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -141,9 +141,9 @@
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
         Some(Ok(response)) => {
-            note_statements(gateway, &client, &response, sent_at);
+            let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
-            let sent = classify_response(gateway, call, &client, response);
+            let sent = classify_response(gateway, call, &client, response, asks_silence);
             if call.id.is_some() {
                 client.release(connection);
             }
@@ -207,15 +207,15 @@
 }
 
 /// Records what a response says of its upstream; a response of another process than the
-/// expected one says nothing.
+/// expected one says nothing. Returns whether it asks for silence.
 fn note_statements<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     client: &UpstreamClient,
     response: &HttpResponse,
     sent_at: Instant,
-) {
+) -> bool {
     if response.status == StatusCode::MISDIRECTED_REQUEST {
-        return;
+        return false;
     }
     let names = gateway.platform.headers();
     let kind = if response.headers.contains_key(&names.stamp) {
@@ -227,6 +227,7 @@
     gateway.on_named_limit(client, limit, sent_at, kind);
     let notice = read_notice(response, names, &client.id);
     gateway.on_notice(client, notice, sent_at, kind);
+    notice.is_some_and(|notice| notice.asks_silence())
 }
 
 /// Decides whether a response shows that the request ran, and records it in the
@@ -236,6 +237,7 @@
     call: &Call,
     client: &UpstreamClient,
     response: HttpResponse,
+    asks_silence: bool,
 ) -> SendOutcome {
     let names = gateway.platform.headers();
     let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
@@ -246,14 +248,24 @@
     let (evidence, sent) = if is_misdirected {
         (Evidence::Unreachable, SendOutcome::NotRun)
     } else if is_not_run {
-        (Evidence::Shed, SendOutcome::NotRun)
+        let evidence = if asks_silence {
+            Evidence::TurnedAway
+        } else {
+            Evidence::Shed
+        };
+        (evidence, SendOutcome::NotRun)
     } else if is_unstamped {
         (
             Evidence::Failed,
             SendOutcome::Failed(Reason::UpstreamFailed),
         )
     } else if response.status.is_server_error() {
-        (Evidence::Failed, SendOutcome::Answered(response))
+        let evidence = if asks_silence {
+            Evidence::TurnedAway
+        } else {
+            Evidence::Failed
+        };
+        (evidence, SendOutcome::Answered(response))
     } else {
         (Evidence::Served, SendOutcome::Answered(response))
     };
@@ -298,6 +310,7 @@
         Evidence::Served => "served",
         Evidence::Failed => "failed",
         Evidence::Shed => "shed",
+        Evidence::TurnedAway => "turned-away",
         Evidence::Unreachable => "misdirected",
     });
     if evidence != Evidence::Served && gateway.log_budget.take() {
--- a/tests/upstream_notices.rs
+++ b/tests/upstream_notices.rs
@@ -1,10 +1,13 @@
-//! Tests of what an instance believes of upstreams that say that they leave.
+//! Tests of what an instance believes of upstreams that say that they leave, or that they
+//! want nothing for a time.
 
 use std::sync::Arc;
 
 use chicorywing::decision::crash_suspects::UpstreamLifetime;
+use chicorywing::decision::ejection::{EjectionState, Evidence};
 use chicorywing::decision::upstream_notices::{
-    LeavingReport, NoticeChange, NoticeReport, Statement, UpstreamNotices, parse_leaving,
+    LeavingReport, NoticeChange, NoticeReport, Silence, Statement, UpstreamNotices, parse_leaving,
+    parse_silence_ms,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -50,9 +53,23 @@
             sent_age_ms,
             received_age_ms,
         }),
+        silence: None,
     }
 }
 
+fn silence(id: u64, for_ms: u64, received_ms: u64) -> Silence {
+    Silence {
+        id,
+        for_ms,
+        received_ms,
+        return_delay_ms: 0,
+    }
+}
+
+fn parsed_ms(values: &[&str]) -> std::result::Result<Option<u64>, ()> {
+    parse_silence_ms(values.iter().map(|value| value.as_bytes())).map_err(|_| ())
+}
+
 fn parsed(values: &[&str]) -> Option<bool> {
     parse_leaving(values.iter().map(|value| value.as_bytes())).ok()
 }
@@ -112,8 +129,11 @@
 
     expect_that!(change, eq(NoticeChange::Leaving));
     expect_that!(other.is_leaving(UP, 1), eq(true));
-    expect_that!(other.digest(), eq(notices.digest()));
-    expect_that!(other.digest(), not(eq(UpstreamNotices::default().digest())));
+    expect_that!(other.digest(5), eq(notices.digest(NOW_MS)));
+    expect_that!(
+        other.digest(5),
+        not(eq(UpstreamNotices::default().digest(5)))
+    );
 }
 
 // Guards against a table that grows with every upstream that ever left.
@@ -143,6 +163,108 @@
     expect_that!(notices.is_leaving("up-4999", 1), eq(true));
 }
 
+#[gtest]
+fn a_time_is_a_decimal_number_of_seconds_and_the_longest_of_several_counts() {
+    expect_that!(parsed_ms(&[]), eq(Ok(None)));
+    expect_that!(parsed_ms(&["3"]), eq(Ok(Some(3_000))));
+    expect_that!(parsed_ms(&[" 0.25 "]), eq(Ok(Some(250))));
+    expect_that!(parsed_ms(&["0"]), eq(Ok(Some(0))));
+    expect_that!(parsed_ms(&["1", "2.5"]), eq(Ok(Some(2_500))));
+    expect_that!(parsed_ms(&["soon", "2"]), eq(Ok(Some(2_000))));
+}
+
+#[gtest]
+fn other_times_are_invalid() {
+    for text in [
+        "",
+        "-1",
+        "NaN",
+        "inf",
+        "1e3",
+        "+1",
+        "soon",
+        ".",
+        "Fri, 04 Dec 2099 12:00:00 GMT",
+    ] {
+        expect_that!(parsed_ms(&[text]), err(anything()), "{text}");
+    }
+}
+
+// Guards against one huge value putting an upstream away for good.
+#[gtest]
+fn a_huge_time_is_cut() {
+    let digits = "9".repeat(400);
+    expect_that!(parsed_ms(&["86400"]), eq(Ok(Some(30_000))));
+    expect_that!(parsed_ms(&[&digits]), eq(Ok(Some(30_000))));
+
+    let mut notices = UpstreamNotices::default();
+    notices.on_silence(&lifetime(1), silence(1, u64::MAX, 0));
+    expect_that!(notices.silence_left_ms(UP, 1, 0), eq(30_000));
+}
+
+#[gtest]
+fn an_upstream_is_quiet_until_the_last_of_its_times_ends() {
+    let mut notices = UpstreamNotices::default();
+    notices.on_silence(&lifetime(1), silence(1, 3_000, 1_000));
+    let change = notices.on_silence(&lifetime(1), silence(2, 500, 1_100));
+
+    expect_that!(change, eq(NoticeChange::None));
+    expect_that!(notices.silence_left_ms(UP, 1, 1_100), eq(2_900));
+    expect_that!(notices.silence_left_ms(UP, 1, 4_000), eq(0));
+    expect_that!(notices.silence_left_ms(UP, 2, 1_100), eq(0));
+}
+
+// Guards against a time that grows as instances tell each other of it.
+#[gtest]
+fn a_time_that_comes_back_from_another_instance_does_not_grow() {
+    let mut notices = UpstreamNotices::default();
+    let mut other = UpstreamNotices::default();
+    notices.on_silence(&lifetime(1), silence(1, 3_000, 0));
+    for now_ms in (0..2_000).step_by(100) {
+        let told = notices.report(UP, now_ms).unwrap();
+        other.merge_silence(&told, 0, now_ms + 10);
+        let told = other.report(UP, now_ms + 20).unwrap();
+        notices.merge_silence(&told, 0, now_ms + 30);
+    }
+
+    expect_that!(notices.silence_left_ms(UP, 1, 2_000), eq(1_000));
+    expect_that!(other.silence_left_ms(UP, 1, 2_000), eq(1_010));
+    expect_that!(other.digest(2_000), eq(notices.digest(2_000)));
+}
+
+// Guards against all instances returning at the same moment.
+#[gtest]
+fn an_instance_returns_with_its_delay() {
+    let mut notices = UpstreamNotices::default();
+    let delayed = Silence {
+        return_delay_ms: 200,
+        ..silence(1, 1_000, 0)
+    };
+    notices.on_silence(&lifetime(1), delayed);
+
+    expect_that!(notices.silence_left_ms(UP, 1, 1_100), eq(100));
+    expect_that!(notices.quiet(1_100), eq(1));
+    expect_that!(notices.quiet(1_200), eq(0));
+}
+
+// Guards against silence that an upstream asked for leading to an ejection, a trial or a
+// share of failures.
+#[gtest]
+fn being_turned_away_is_no_failure() {
+    let mut ejection = EjectionState::default();
+    for now_ms in 0..20 {
+        ejection.on_send();
+        expect_that!(
+            ejection.on_evidence(Evidence::TurnedAway, now_ms),
+            eq(false)
+        );
+    }
+
+    expect_that!(ejection.is_usable(20), eq(true));
+    expect_that!(ejection.needs_trial(), eq(false));
+    expect_that!(ejection.failure_share(), eq(0.0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
