--- a/src/decision/cold_limiter.rs
+++ b/src/decision/cold_limiter.rs
@@ -3,7 +3,8 @@
 //! The limit holds for the whole fleet without coordination: rendezvous hashing
 //! over the known instances picks a few senders, and each of them sends at most
 //! once per interval. Instances whose membership views differ pick more senders,
-//! so the limit is divided such that twice as many senders still keep it.
+//! so the limit is divided such that twice as many senders still keep it. An instance
+//! whose own view lacks it is not registered yet: no other can know it, so it waits.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,6 +13,9 @@
 
 /// Largest number of instances that send to one cold upstream.
 const MAX_SENDERS: usize = 4;
+/// Number of instances that send to the slowest cold upstream, so that it still gets
+/// requests while one of them has ended or is cut off.
+const MIN_SENDERS: usize = 2;
 
 /// Limits what this instance sends to each cold upstream.
 #[derive(Debug, Default)]
@@ -41,7 +45,7 @@
         limit: ColdLimit,
         now_ms: u64,
     ) -> bool {
-        if requests_in_one_second(limit) < 1.0 {
+        if requests_in_one_second(limit) < 1.0 || !instances.contains(me) {
             return false;
         }
         let senders = senders(limit);
@@ -71,9 +75,15 @@
 }
 
 /// Number of instances that may send to an upstream with this limit.
+///
+/// The fewest that send at most once per second each: where views differ, more instances
+/// send, and each of them then adds one request to a second.
 fn senders(limit: ColdLimit) -> usize {
     let most = requests_in_one_second(limit);
-    let mut senders = MAX_SENDERS;
+    let mut senders = MIN_SENDERS;
+    while senders < MAX_SENDERS && f64::from(u32::try_from(senders).unwrap_or(0)) < limit.per_s {
+        senders += 1;
+    }
     // One request from each of twice as many senders must fit into one second.
     while senders > 1 && f64::from(u32::try_from(2 * senders).unwrap_or(u32::MAX)) > most {
         senders -= 1;
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -2,11 +2,12 @@
 //! instances while the store is unreachable.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::relay;
 use super::state::Gateway;
@@ -21,12 +22,13 @@
 const RETRY_DOUBLINGS: u32 = 2;
 
 impl Stream {
-    /// Wait of a long poll. It is short for upstreams, so that a hanging store is
-    /// detected within the platform's bounds.
+    /// Wait of a long poll. It is short, so that a part of the store that hangs is
+    /// detected within the platform's bounds; [`check_long_polls`] does that for the
+    /// operator stream, whose bound is shorter.
     fn long_poll_wait(self) -> Duration {
         match self {
-            Self::Operator | Self::Instances => Duration::from_secs(20),
-            Self::Upstreams => Duration::from_secs(3),
+            Self::Operator => Duration::from_secs(20),
+            Self::Upstreams | Self::Instances => Duration::from_secs(3),
         }
     }
 
@@ -46,37 +48,59 @@
 /// Time within which a healthy store responds to a read without a wait; ten times
 /// the usual 4 ms.
 const PROMPT_RESPONSE_TIME: Duration = Duration::from_millis(40);
-/// Delay between the start of a long poll and the short poll that checks it; an
+/// Delay between the start of a long poll and the first short poll that checks it; an
 /// append to the store takes a tenth of it.
 const LONG_POLL_CHECK_DELAY: Duration = Duration::from_millis(300);
+/// Interval of further checks of the same long poll, which may hang for its whole wait. It
+/// leaves a quarter of the platform's bound of 2 s for the check and for telling followers.
+const LONG_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Wait of the next long poll of upstreams after one that returned records.
 const WAIT_AFTER_RECORDS: Duration = Duration::from_millis(1_200);
 /// Pause between short polls while the store is slow.
 const SLOW_STORE_PAUSE: Duration = Duration::from_millis(900);
 
 /// Reachability of the store for the follower of one stream.
-#[derive(Debug, Default)]
-struct StoreContact {
-    lost_at: Option<Instant>,
+struct StoreContact<P: Platform> {
+    gateway: Arc<Gateway<P>>,
+    outage: Option<Outage<P>>,
     failures: u32,
 }
 
-impl StoreContact {
+/// Counts a stream as unreachable until it is dropped, also if its follower ends.
+struct Outage<P: Platform> {
+    gateway: Arc<Gateway<P>>,
+    since: Instant,
+}
+
+impl<P: Platform> Drop for Outage<P> {
+    fn drop(&mut self) {
+        self.gateway.clear_store_unreachable();
+    }
+}
+
+impl<P: Platform> StoreContact<P> {
+    fn new(gateway: &Arc<Gateway<P>>) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            outage: None,
+            failures: 0,
+        }
+    }
+
     /// Records a successful read; returns true if it ends an outage.
     fn on_response(&mut self, stream: Stream) -> bool {
         self.failures = 0;
-        let Some(lost_at) = self.lost_at.take() else {
+        let Some(outage) = self.outage.take() else {
             return false;
         };
-        let outage_ms = super::calls::to_ms(lost_at.elapsed());
+        let outage_ms = super::calls::to_ms(outage.since.elapsed());
         tracing::info!(%stream, outage_ms, "store reads succeed again");
         true
     }
 
     /// Ends the outage when another instance has become the reader.
-    fn reset<P: Platform>(&mut self, gateway: &Gateway<P>, stream: Stream) {
-        if self.lost_at.take().is_some() {
-            gateway.clear_store_unreachable();
+    fn reset(&mut self, stream: Stream) {
+        if self.outage.take().is_some() {
             tracing::info!(%stream, "another instance reads the store; no longer retrying");
         }
     }
@@ -84,10 +108,14 @@
     /// Records a failed read; returns true if it begins an outage.
     fn on_failure(&mut self, stream: Stream, error: &StoreError) -> bool {
         self.failures += 1;
-        if self.lost_at.is_some() {
+        if self.outage.is_some() {
             return false;
         }
-        self.lost_at = Some(Instant::now());
+        self.gateway.on_store_unreachable();
+        self.outage = Some(Outage {
+            gateway: Arc::clone(&self.gateway),
+            since: Instant::now(),
+        });
         tracing::warn!(%stream, %error, "store reads fail; retrying and asking other instances");
         true
     }
@@ -97,7 +125,7 @@
 /// ends.
 pub async fn follow<P: Platform>(gateway: Arc<Gateway<P>>, stream: Stream) {
     let mut role = gateway.watch_reader_role();
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new(&gateway);
     let mut is_loaded = false;
     let mut needs_short_poll = false;
     let mut is_after_records = false;
@@ -114,9 +142,8 @@
             (false, true) if stream == Stream::Upstreams => WAIT_AFTER_RECORDS,
             (false, _) => stream.long_poll_wait(),
         };
-        if stream == Stream::Operator && is_loaded && !needs_short_poll {
-            gateway.long_poll_started.notify_one();
-        }
+        let is_checked = stream == Stream::Operator && is_loaded && !needs_short_poll;
+        let checked_poll = is_checked.then(|| CheckedLongPoll::begin(&gateway.operator_long_poll));
         let began = Instant::now();
         let read = tokio::select! {
             read = read_stream(&gateway, stream, is_loaded, wait) => read,
@@ -124,14 +151,17 @@
                 needs_short_poll = true;
                 continue;
             }
+            () = gateway.operator_poll_missed_records.notified(), if is_checked => continue,
             _ = wait_for_role(&mut role, false) => {
-                contact.reset(&gateway, stream);
+                contact.reset(stream);
                 continue;
             }
         };
+        drop(checked_poll);
         gateway.metrics.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
+                gateway.stream_ages.confirm(stream, gateway.now_ms());
                 // A long poll of a slow store may miss a record that is written while
                 // the poll arrives.
                 let is_short_poll = needs_short_poll || !is_loaded;
@@ -175,7 +205,6 @@
                 // A long poll could hang beyond the store's recovery.
                 needs_short_poll = true;
                 if contact.on_failure(stream, &error) {
-                    gateway.on_store_unreachable();
                     gateway.store_recheck.notify_waiters();
                 }
                 relay::fetch_from_any_peer(&gateway).await;
@@ -270,35 +299,78 @@
     role.wait_for(|now| *now == is_reader).await.is_ok()
 }
 
-/// Checks each long poll of the operator stream by a short poll.
+/// Marks a long poll of the operator stream as in flight until it is dropped.
+struct CheckedLongPoll<'g> {
+    in_flight: &'g watch::Sender<Option<u64>>,
+}
+
+impl<'g> CheckedLongPoll<'g> {
+    fn begin(in_flight: &'g watch::Sender<Option<u64>>) -> Self {
+        static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+        in_flight.send_replace(Some(NEXT_NUMBER.fetch_add(1, Ordering::Relaxed)));
+        Self { in_flight }
+    }
+}
+
+impl Drop for CheckedLongPoll<'_> {
+    fn drop(&mut self) {
+        self.in_flight.send_replace(None);
+    }
+}
+
+/// Checks each long poll of the operator stream by short polls, soon after its start and
+/// then at every interval.
 ///
-/// The store may miss a record that is written while a long poll arrives; it
-/// then responds to the poll only at the next record.
+/// The store may miss a record that is written while a long poll arrives; it then
+/// responds to the poll only at the next record. A part of the store may also hang while
+/// the others respond, and a poll that hangs looks like one without news.
 pub async fn check_long_polls<P: Platform>(gateway: Arc<Gateway<P>>) {
+    let mut in_flight = gateway.operator_long_poll.subscribe();
     loop {
-        gateway.long_poll_started.notified().await;
-        sleep(LONG_POLL_CHECK_DELAY).await;
-        if !*gateway.watch_reader_role().borrow() {
-            continue;
+        // The sender belongs to the gateway, so it is not closed.
+        let Ok(poll) = in_flight.wait_for(Option::is_some).await.map(|poll| *poll) else {
+            return;
+        };
+        let mut delay = LONG_POLL_CHECK_DELAY;
+        loop {
+            let has_ended = in_flight.wait_for(|now| *now != poll);
+            if timeout(delay, has_ended).await.is_ok() {
+                break;
+            }
+            check_operator_stream(&gateway).await;
+            delay = LONG_POLL_CHECK_INTERVAL;
         }
-        let began = Instant::now();
-        match read_stream(&gateway, Stream::Operator, true, Duration::ZERO).await {
-            Ok(records) => {
-                gateway.metrics.on_store_call(true);
-                if began.elapsed() > PROMPT_RESPONSE_TIME {
-                    gateway.store_recheck.notify_waiters();
-                }
-                if records.era == gateway.view().copy(Stream::Operator).era {
-                    gateway.apply_records(Stream::Operator, records, Extent::Following, "store");
-                } else {
-                    gateway.store_recheck.notify_waiters();
-                }
+    }
+}
+
+async fn check_operator_stream<P: Platform>(gateway: &Gateway<P>) {
+    if !*gateway.watch_reader_role().borrow() {
+        return;
+    }
+    let began = Instant::now();
+    match read_stream(gateway, Stream::Operator, true, Duration::ZERO).await {
+        Ok(records) => {
+            gateway.metrics.on_store_call(true);
+            gateway
+                .stream_ages
+                .confirm(Stream::Operator, gateway.now_ms());
+            if began.elapsed() > PROMPT_RESPONSE_TIME {
+                gateway.store_recheck.notify_waiters();
             }
-            Err(error) => {
-                gateway.metrics.on_store_call(false);
-                tracing::debug!(%error, "the short poll that checks a long poll failed");
+            if records.era == gateway.view().copy(Stream::Operator).era {
+                if !records.records.is_empty() {
+                    gateway.operator_poll_missed_records.notify_waiters();
+                }
+                gateway.apply_records(Stream::Operator, records, Extent::Following, "store");
+            } else {
+                gateway.store_recheck.notify_waiters();
             }
         }
+        Err(error) => {
+            gateway.metrics.on_store_call(false);
+            tracing::info!(%error, "the check of a long poll failed; reading the streams anew");
+            gateway.store_recheck.notify_waiters();
+        }
     }
 }
 
--- /dev/null
+++ b/src/gateway/hand_over.rs
@@ -0,0 +1,225 @@
+//! Hands requests to other instances while this one reaches no upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::calls::{BodyReservation, Call, to_ms};
+use super::forward::AttemptEnd;
+use super::handed::{
+    AttemptHistory, HandedAnswer, HandedRequest, MAX_HANDED_BYTES, encode_headers,
+};
+use super::offers::{KnownOffer, ask_once};
+use super::outcome::{Outcome, Reason};
+use super::peer_client::HandError;
+use super::sending::attempt_deadline;
+use super::state::Gateway;
+use super::store::Platform;
+
+/// Time in which one attempt looks for a receiver: right after a cut of many instances some
+/// offers are of those that do not know yet, and each takes 90 ms to find out.
+const SEARCH_TIME: Duration = Duration::from_millis(500);
+/// Time since the last answer up to which a request waits for offers that may still come.
+const YOUNG_CUT_MS: u64 = 600;
+/// Delay before a request looks again for them.
+const ASK_AGAIN_DELAY: Duration = Duration::from_millis(15);
+/// Time in which a receiver must accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Added to the timeout of an attempt, for the receiver's probes and the hop.
+const HOP_MARGIN: Duration = Duration::from_millis(100);
+/// Retry delay for callers refused because nobody takes requests; links that flap are
+/// back after a few hundred milliseconds.
+const NOBODY_RETRY_AFTER_MS: u64 = 250;
+/// Share of the caller's remaining time that the retry delay may take.
+const MAX_RETRY_AFTER_SHARE: u64 = 4;
+
+/// Hands a request to another instance.
+///
+/// [`AttemptEnd::NoContact`] if nobody took it, and nothing was sent.
+pub async fn attempt<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    call: &Call,
+    service: &Arc<str>,
+    history: &mut AttemptHistory,
+) -> AttemptEnd {
+    if call.left_ms() == 0 || call.body.len() > MAX_HANDED_BYTES {
+        return AttemptEnd::NoContact;
+    }
+    // The call holds the body a second time, encoded.
+    let mut copy = BodyReservation::new(&gateway.body_memory);
+    if !copy.grow(call.body.len()) {
+        return AttemptEnd::NoContact;
+    }
+    let began_ms = gateway.now_ms();
+    let mut refusal = None;
+    let until = call.deadline.min(Instant::now() + SEARCH_TIME);
+    while Instant::now() < until {
+        if !gateway.offers.is_known(gateway.now_ms()) {
+            ask_once(gateway).await;
+        }
+        let Some(known) = gateway.offers.take() else {
+            if refusal.is_some() || !is_cut_young(gateway, began_ms) {
+                break;
+            }
+            sleep(ASK_AGAIN_DELAY).await;
+            continue;
+        };
+        let end = hand_to(gateway, call, service, history, &known).await;
+        log_end(gateway, call, &known, &end);
+        match end {
+            Ok(HandedAnswer::NotTaken { .. }) | Err(HandError::NotSent(_)) => {
+                gateway.metrics.on_handed("not-taken");
+                gateway.offers.remove(known.address);
+            }
+            Ok(HandedAnswer::Ended { end, history: all }) => {
+                gateway.metrics.on_handed("ended");
+                let end = ended(call, history, all, end.into_outcome());
+                if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
+                    return end;
+                }
+                // It may lack some links, too; another one may have room.
+                gateway.offers.remove(known.address);
+                refusal = Some(end);
+            }
+            Err(error) => {
+                gateway.metrics.on_handed("lost");
+                gateway.offers.remove(known.address);
+                history.sends += 1;
+                history.may_have_run = true;
+                let reason = match error {
+                    HandError::Timeout => Reason::Late,
+                    HandError::NotSent(_) | HandError::Lost(_) => Reason::UpstreamFailed,
+                };
+                return AttemptEnd::Ended(Outcome::gateway_error(reason));
+            }
+        }
+    }
+    refusal.unwrap_or(AttemptEnd::NoContact)
+}
+
+/// Whether this instance's links were lost so lately that an instance that has some may
+/// not have been found yet, and no upstream has answered since `began_ms`.
+fn is_cut_young<P: Platform>(gateway: &Gateway<P>, began_ms: u64) -> bool {
+    let contact = gateway.contact.decision();
+    let no_answer_ms = contact.no_answer_ms(gateway.now_ms());
+    !contact.has_answered_since(began_ms) && no_answer_ms.is_some_and(|age| age < YOUNG_CUT_MS)
+}
+
+/// Refuses a request that no instance can serve.
+pub fn refuse<P: Platform>(gateway: &Gateway<P>, call: &Call, service: &str) -> Outcome {
+    let retry_after_ms = NOBODY_RETRY_AFTER_MS.min(call.left_ms() / MAX_RETRY_AFTER_SHARE);
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            route = %call.route.name,
+            version = call.version,
+            service,
+            held_ms = call.held_ms(),
+            left_ms = call.left_ms(),
+            return_ms = retry_after_ms,
+            "request refused: no upstream answers this instance, and no other takes it"
+        );
+    }
+    Outcome::refused(Reason::NoUpstream, retry_after_ms.max(1))
+}
+
+/// Takes over what the receiver did, and decides whether the request may be tried again.
+fn ended(
+    call: &Call,
+    history: &mut AttemptHistory,
+    all: AttemptHistory,
+    outcome: Outcome,
+) -> AttemptEnd {
+    let was_sent = all.sends > history.sends;
+    *history = all;
+    match &outcome {
+        Outcome::Answered(response) => {
+            let is_final = !call.route.is_idempotent || !response.status.is_server_error();
+            if is_final {
+                AttemptEnd::Final(outcome)
+            } else {
+                AttemptEnd::Ended(outcome)
+            }
+        }
+        Outcome::GatewayError { .. } if was_sent => AttemptEnd::Ended(outcome),
+        Outcome::GatewayError { .. } => AttemptEnd::Refused(outcome),
+    }
+}
+
+async fn hand_to<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    call: &Call,
+    service: &Arc<str>,
+    history: &AttemptHistory,
+    known: &KnownOffer,
+) -> Result<HandedAnswer, HandError> {
+    let client = gateway
+        .peers
+        .connected(known.address, CONNECT_TIMEOUT)
+        .await
+        .map_err(HandError::NotSent)?;
+    let work_ms = gateway.route_means(&call.route).work_ms;
+    let now = Instant::now();
+    let deadline = (attempt_deadline(call, work_ms, now) + HOP_MARGIN).min(call.deadline);
+    let offer_age_ms = gateway.now_ms().saturating_sub(known.received_ms);
+    let request = HandedRequest {
+        id: call.id.as_ref().map(|id| id.as_bytes().to_vec()),
+        method: call.method.as_str().to_owned(),
+        host: call.host().unwrap_or(&call.route.host).to_owned(),
+        target: call.target.clone(),
+        headers: encode_headers(&call.headers),
+        body: call.body.to_vec(),
+        service: Arc::clone(service),
+        held_ms: call.held_ms(),
+        left_ms: to_ms(deadline.saturating_duration_since(now)),
+        sent_ms: known.offer.now_ms + offer_age_ms,
+        history: history.clone(),
+    };
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            route = %call.route.name,
+            version = call.version,
+            service = %service,
+            to = %known.address,
+            offer_age_ms,
+            its_no_answer_ms = known.offer.no_answer_ms,
+            its_taken = known.offer.taken,
+            is_cut_off = gateway.contact.is_cut_off(),
+            held_ms = call.held_ms(),
+            left_ms = call.left_ms(),
+            sends = history.sends,
+            "request handed to another instance"
+        );
+    }
+    client.run_handed(request, deadline).await
+}
+
+fn log_end<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    known: &KnownOffer,
+    end: &Result<HandedAnswer, HandError>,
+) {
+    if !gateway.log_budget.take() {
+        return;
+    }
+    let (request, to, held_ms) = (call.id_text(), known.address, call.held_ms());
+    match end {
+        Ok(HandedAnswer::Ended { history, .. }) => tracing::info!(
+            request,
+            %to,
+            held_ms,
+            sends = history.sends,
+            upstreams = history.tried.join(" "),
+            "handed request ended"
+        ),
+        Ok(HandedAnswer::NotTaken { why, .. }) => {
+            tracing::info!(request, %to, held_ms, why, "handed request not taken");
+        }
+        Err(error) => {
+            tracing::info!(request, %to, held_ms, %error, "handed request failed");
+        }
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -45,6 +45,11 @@
     requests: EndCounters,
     sends: EndCounters,
     send_permits: EndCounters,
+    handed: EndCounters,
+    /// 1 while no upstream answers this instance, otherwise 0.
+    pub cut_off: Gauge<u64, AtomicU64>,
+    /// Requests of other instances that run here.
+    pub taken: Gauge<u64, AtomicU64>,
     /// Upstreams whose permits this instance gives out.
     pub issued_limits: Gauge<u64, AtomicU64>,
     /// Sends beyond the first one of a request.
@@ -72,6 +77,8 @@
     store_calls: EndCounters,
     /// Version of the manifest in use.
     pub version: Gauge<u64, AtomicU64>,
+    /// Time since the store confirmed the operators' records, when last asked.
+    pub operator_records_age_ms: Gauge<u64, AtomicU64>,
     /// Number of known upstreams.
     pub upstreams: Gauge<u64, AtomicU64>,
     /// Requests in flight.
@@ -94,6 +101,9 @@
             requests: EndCounters::default(),
             sends: EndCounters::default(),
             send_permits: EndCounters::default(),
+            handed: EndCounters::default(),
+            cut_off: Gauge::default(),
+            taken: Gauge::default(),
             issued_limits: Gauge::default(),
             retries: Counter::default(),
             probes: Counter::default(),
@@ -108,6 +118,7 @@
             stopped_requests: Gauge::default(),
             store_calls: EndCounters::default(),
             version: Gauge::default(),
+            operator_records_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             in_flight: Gauge::default(),
             request_s: time(),
@@ -143,6 +154,12 @@
             "Permits asked for by how that ended",
             permits,
         );
+        let handed = self.handed.clone();
+        registry.register("handed", "Requests handed over by how that ended", handed);
+        let cut_off = self.cut_off.clone();
+        registry.register("cut_off", "Whether no upstream answers", cut_off);
+        let taken = self.taken.clone();
+        registry.register("taken", "Requests of other instances that run here", taken);
         let issued = self.issued_limits.clone();
         registry.register(
             "issued_limits",
@@ -163,6 +180,12 @@
         let calls = self.store_calls.clone();
         registry.register("store_calls", "Calls to the store by how they ended", calls);
         registry.register("version", "Version in force", self.version.clone());
+        let age = self.operator_records_age_ms.clone();
+        registry.register(
+            "operator_records_age_ms",
+            "Time since the store confirmed the operators' records",
+            age,
+        );
         registry.register("upstreams", "Known upstreams", self.upstreams.clone());
         registry.register("in_flight", "Requests served now", self.in_flight.clone());
         registry.register(
@@ -193,6 +216,11 @@
         count(&self.send_permits, end);
     }
 
+    /// Counts a request that was handed to another instance by its outcome.
+    pub fn on_handed(&self, end: &'static str) {
+        count(&self.handed, end);
+    }
+
     /// Counts a call to the store as answered or failed.
     pub fn on_store_call(&self, is_answered: bool) {
         count(
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,10 +17,12 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::time::{Instant, timeout_at};
 
+use super::handed::{HandedAnswer, HandedRequest, Offer};
 use super::peer_client::PeerClient;
 use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
 use super::store::{Platform, Records, Stream};
+use super::taken;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
 use crate::decision::upstream_notices::NoticeReport;
@@ -77,6 +79,9 @@
     pub notices: Vec<NoticeReport>,
     /// Position after them.
     pub notices_position: u64,
+    /// Time since the store last confirmed each stream, in the order of [`STREAMS`], in
+    /// milliseconds.
+    pub stream_ages_ms: Vec<u64>,
 }
 
 /// Response to [`Relay::acquire_run`].
@@ -130,6 +135,12 @@
 
     /// Gives a permit back, with what the run has shown.
     async fn release_run(scope: Scope, token: u64, report: Option<SuspectReport>);
+
+    /// Asks whether this instance takes requests that the requester cannot serve.
+    async fn offer() -> Offer;
+
+    /// Runs a request for the requester, whose links to upstreams are lost.
+    async fn run_handed(request: HandedRequest) -> HandedAnswer;
 }
 
 struct Server<P> {
@@ -248,6 +259,14 @@
         gateway.merge_suspects(report.as_slice(), "another instance");
         gateway.suspects.permits().release(scope, token);
     }
+
+    async fn offer(self, _: context::Context) -> Offer {
+        taken::offer(&self.gateway).await
+    }
+
+    async fn run_handed(self, _: context::Context, request: HandedRequest) -> HandedAnswer {
+        taken::run(&self.gateway, request).await
+    }
 }
 
 impl RecordsResponse {
@@ -310,6 +329,7 @@
         notices_position,
         is_reader: gateway.is_active_reader(),
         lapses_left_ms: gateway.lapse_window_left_ms(),
+        stream_ages_ms: gateway.stream_ages.ages_ms(now_ms),
     }
 }
 
@@ -329,12 +349,16 @@
                     continue;
                 }
             };
+            if let Err(error) = transport.get_ref().set_nodelay(true) {
+                tracing::debug!(%error, "connection of another instance dropped");
+                continue;
+            }
             let server = Server {
                 gateway: Arc::clone(&gateway),
             };
             let responses = BaseChannel::with_defaults(transport)
                 .execute(server.serve())
-                .for_each(|response| response);
+                .for_each_concurrent(None, |response| response);
             tokio::spawn(responses);
         }
     });
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,12 +11,16 @@
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
 use super::metrics::Metrics;
+use super::offers::OfferState;
 use super::peers::Peers;
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
+use super::stream_ages::StreamAges;
 use super::suspects::SuspectState;
+use super::taken::TakenState;
 use super::upstream_client::UpstreamClients;
+use super::upstream_contact::ContactState;
 use super::upstream_notices::NoticeState;
 use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
@@ -78,8 +82,12 @@
     /// Notified when a call to the store fails, is slow, or succeeds again after
     /// failures; every follower then checks its own connection with a short read.
     pub store_recheck: Notify,
-    /// Notified when a long poll of [`Stream::Operator`] starts.
-    pub long_poll_started: Notify,
+    /// When the store last confirmed what is known of each stream.
+    pub stream_ages: StreamAges,
+    /// Number of the long poll of [`Stream::Operator`] in flight, if there is one.
+    pub operator_long_poll: watch::Sender<Option<u64>>,
+    /// Notified when a check finds records that the long poll in flight has not returned.
+    pub operator_poll_missed_records: Notify,
     /// Requests that are suspected of ending upstreams.
     pub suspects: SuspectState,
     /// Connections to other instances, and which of them respond.
@@ -88,6 +96,12 @@
     pub limits: LimitState,
     /// What upstreams say about whether they take requests.
     pub notices: NoticeState,
+    /// Whether any upstream answers this instance.
+    pub contact: ContactState,
+    /// Offers of other instances to take requests.
+    pub offers: OfferState,
+    /// Requests that this instance runs for others.
+    pub taken: TakenState,
     started_at: Instant,
     /// Start of the round robin among a route's targets, from 0 to 1; random, so
     /// that instances do not all begin with the same target.
@@ -125,11 +139,16 @@
             response_memory: ResponseMemory::new(body_bytes),
             upstream_clients: UpstreamClients::default(),
             store_recheck: Notify::new(),
-            long_poll_started: Notify::new(),
+            stream_ages: StreamAges::default(),
+            operator_long_poll: watch::Sender::default(),
+            operator_poll_missed_records: Notify::new(),
             suspects: SuspectState::default(),
             peers: Peers::default(),
             limits: LimitState::default(),
             notices: NoticeState::default(),
+            contact: ContactState::default(),
+            offers: OfferState::default(),
+            taken: TakenState::default(),
             started_at: Instant::now(),
             split_phase: rand::random(),
             view: Mutex::default(),
@@ -305,7 +324,6 @@
     /// Records that reads of one stream succeed again; entries may have lapsed
     /// during the outage.
     pub fn on_store_recovered(&self) {
-        self.clear_store_unreachable();
         self.extend_lapse_window(LAPSE_WINDOW_MS);
     }
 
