--- a/src/decision.rs
+++ b/src/decision.rs
@@ -19,3 +19,4 @@
 pub mod store_reader;
 pub mod traffic_split;
 pub mod upstream_contact;
+pub mod upstream_notices;
--- /dev/null
+++ b/src/decision/upstream_notices.rs
@@ -0,0 +1,597 @@
+//! What upstreams say about whether they take requests: that they leave, or want none for
+//! a time.
+//!
+//! A notice belongs to one life of the upstream's process. Answers overtake each other,
+//! so each has an interval in which the upstream wrote it: from the send of its request
+//! to its arrival. That an upstream no longer leaves is believed only if the request was
+//! sent clearly after it last said that it does, so no order of answers and reports ends
+//! a notice too early. Of several times in which an upstream wants nothing, the one that
+//! ends last counts.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::crash_suspects::UpstreamLifetime;
+
+/// Upstreams in a table; further ones replace the one that spoke longest ago. More than
+/// five times the upstreams of the largest fleet planned for.
+const MAX_ENTRIES: usize = 4_096;
+/// Time for which what has ended is remembered, so that an older report which arrives late
+/// does not bring it back.
+const ENDED_RETENTION_MS: i64 = 60_000;
+/// Time between the last answer that says that an upstream leaves and the send of the
+/// request whose answer ends that; more than reports take between instances.
+const END_MARGIN_MS: i64 = 1_000;
+
+/// Longest time for which an upstream is believed to want nothing, in milliseconds: a wrong
+/// unit or a slip must not put it away, and one that still wants nothing says so again.
+const MAX_SILENCE_MS: u64 = 30_000;
+/// Extension of that time that other instances are told of, in milliseconds; the answers to
+/// requests in flight together each extend it a little.
+const MIN_EXTENSION_MS: i64 = 100;
+
+/// Why the value of a header is unusable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidNotice {
+    /// The values that an upstream leaves.
+    #[error("whether an upstream leaves must be 1 or 0, in all values the same")]
+    Leaving,
+    /// The values of the time for which an upstream wants nothing.
+    #[error("the time for which an upstream wants nothing must be a decimal number of seconds")]
+    Silence,
+}
+
+/// Parses the values of all headers of one response that say whether the upstream leaves;
+/// an upstream that says nothing does not leave.
+///
+/// # Errors
+/// Returns an error if a value is neither 0 nor 1, or if they differ.
+pub fn parse_leaving<'v>(values: impl Iterator<Item = &'v [u8]>) -> Result<bool, InvalidNotice> {
+    let mut known = None;
+    for value in values {
+        let is_leaving = match value.trim_ascii() {
+            b"1" => true,
+            b"0" => false,
+            _ => return Err(InvalidNotice::Leaving),
+        };
+        if known.is_some_and(|known| known != is_leaving) {
+            return Err(InvalidNotice::Leaving);
+        }
+        known = Some(is_leaving);
+    }
+    Ok(known.unwrap_or(false))
+}
+
+/// Parses the values of all headers of one response that say for how long its upstream
+/// wants nothing, and returns the longest valid time in milliseconds; `None` if there is no
+/// header.
+///
+/// # Errors
+/// Returns an error if there are values but none is valid.
+pub fn parse_silence_ms<'v>(
+    values: impl Iterator<Item = &'v [u8]>,
+) -> Result<Option<u64>, InvalidNotice> {
+    let mut longest_ms = None;
+    let mut has_values = false;
+    for value in values {
+        has_values = true;
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        for part in text.split(',') {
+            longest_ms = longest_ms.max(parse_time_ms(part.trim()));
+        }
+    }
+    if has_values && longest_ms.is_none() {
+        return Err(InvalidNotice::Silence);
+    }
+    Ok(longest_ms)
+}
+
+fn parse_time_ms(text: &str) -> Option<u64> {
+    let is_decimal = text
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let time_s: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    // More digits than a number holds are a huge time, which is cut as well.
+    let max_s = Duration::from_millis(MAX_SILENCE_MS).as_secs_f64();
+    let time = Duration::try_from_secs_f64(time_s.min(max_s)).ok()?;
+    u64::try_from(time.as_millis()).ok()
+}
+
+/// That an upstream wants nothing for a time, as its answer said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Names this answer among all.
+    pub id: u64,
+    /// For how long, in milliseconds.
+    pub for_ms: u64,
+    /// When the answer arrived.
+    pub received_ms: u64,
+    /// How much later this instance returns, in milliseconds, so that not all do at once.
+    pub return_delay_ms: u64,
+}
+
+/// What one answer of an upstream said about its leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// Whether the upstream leaves.
+    pub is_leaving: bool,
+    /// When the request was sent, before which the upstream did not write the answer.
+    pub sent_ms: u64,
+    /// When the answer arrived.
+    pub received_ms: u64,
+}
+
+/// Effect of a statement or report on the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum NoticeChange {
+    /// The upstream leaves.
+    Leaving,
+    /// The upstream does not leave any more.
+    Staying,
+    /// The upstream wants nothing for a time.
+    Silence,
+    /// All is as before.
+    None,
+}
+
+/// What an instance knows of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NoticeReport {
+    /// The upstream process.
+    pub lifetime: UpstreamLifetime,
+    /// Whether it leaves; `None` if it never said so.
+    pub leaving: Option<LeavingReport>,
+    /// For how long it wants nothing; `None` if it takes requests.
+    pub silence: Option<SilenceReport>,
+}
+
+/// What an instance knows of the time in which one upstream wants nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SilenceReport {
+    /// Names the answer that said so.
+    pub id: u64,
+    /// Time since that answer arrived, in milliseconds.
+    pub age_ms: u64,
+    /// What is left of the time, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// What an instance knows of the leaving of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// Whether it leaves; false if it did and does not any more.
+    pub is_leaving: bool,
+    /// Time since the request was sent whose answer says so, in milliseconds.
+    pub sent_age_ms: u64,
+    /// Time since that answer arrived, in milliseconds.
+    pub received_age_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    is_leaving: bool,
+    sent_ms: i64,
+    received_ms: i64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownSilence {
+    id: u64,
+    received_ms: i64,
+    until_ms: i64,
+    /// End that other instances were told.
+    told_until_ms: i64,
+    return_delay_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    started_at_ms: u64,
+    leaving: Option<Leaving>,
+    silence: Option<KnownSilence>,
+    changed_at: u64,
+}
+
+/// Notices of upstreams by the upstreams' names, as this instance knows them.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamNotices {
+    by_upstream: HashMap<Arc<str>, Entry>,
+    changes: u64,
+}
+
+impl UpstreamNotices {
+    /// Whether nothing is known of any upstream.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_upstream.is_empty()
+    }
+
+    /// Number of upstreams that leave.
+    #[must_use]
+    pub fn leaving(&self) -> usize {
+        let entries = self.by_upstream.values();
+        entries.filter(|entry| entry.is_leaving()).count()
+    }
+
+    /// Number of upstreams that want nothing now.
+    #[must_use]
+    pub fn quiet(&self, now_ms: u64) -> usize {
+        let entries = self.by_upstream.values();
+        entries.filter(|entry| entry.is_quiet(now_ms)).count()
+    }
+
+    /// Whether a notice of any upstream is in force.
+    #[must_use]
+    pub fn has_any(&self, now_ms: u64) -> bool {
+        let mut entries = self.by_upstream.values();
+        entries.any(|entry| entry.is_leaving() || entry.is_quiet(now_ms))
+    }
+
+    /// Time until this instance may send to an upstream process that wants nothing, in
+    /// milliseconds; 0 if it may now.
+    #[must_use]
+    pub fn silence_left_ms(&self, upstream: &str, started_at_ms: u64, now_ms: u64) -> u64 {
+        let entry = self.entry(upstream, started_at_ms);
+        entry.map_or(0, |entry| entry.silence_left_ms(now_ms))
+    }
+
+    /// Whether an upstream process leaves.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: &str, started_at_ms: u64) -> bool {
+        self.entry(upstream, started_at_ms)
+            .is_some_and(Entry::is_leaving)
+    }
+
+    /// When an upstream process that leaves last said so; `None` if it does not.
+    #[must_use]
+    pub fn leaving_confirmed_ms(&self, upstream: &str, started_at_ms: u64) -> Option<u64> {
+        let leaving = self.entry(upstream, started_at_ms)?.leaving?;
+        leaving.is_leaving.then(|| to_u64(leaving.received_ms))
+    }
+
+    /// Names of the upstreams that leave.
+    pub fn leaving_upstreams(&self) -> impl Iterator<Item = &Arc<str>> {
+        let entries = self.by_upstream.iter();
+        entries.filter_map(|(upstream, entry)| entry.is_leaving().then_some(upstream))
+    }
+
+    /// Applies what an answer of an upstream says of its leaving.
+    pub fn on_statement(
+        &mut self,
+        lifetime: &UpstreamLifetime,
+        statement: Statement,
+    ) -> NoticeChange {
+        let is_news =
+            statement.is_leaving || self.is_leaving(&lifetime.upstream, lifetime.started_at_ms);
+        if !is_news {
+            return NoticeChange::None;
+        }
+        let new = Leaving {
+            is_leaving: statement.is_leaving,
+            sent_ms: to_i64(statement.sent_ms),
+            received_ms: to_i64(statement.received_ms),
+        };
+        self.apply_leaving(lifetime, new)
+    }
+
+    /// Applies that an upstream wants nothing for a time.
+    pub fn on_silence(&mut self, lifetime: &UpstreamLifetime, silence: Silence) -> NoticeChange {
+        if silence.for_ms == 0 {
+            return NoticeChange::None;
+        }
+        let received_ms = to_i64(silence.received_ms);
+        let until_ms = received_ms.saturating_add(to_i64(silence.for_ms.min(MAX_SILENCE_MS)));
+        let new = KnownSilence {
+            id: silence.id,
+            received_ms,
+            until_ms,
+            told_until_ms: until_ms,
+            return_delay_ms: silence.return_delay_ms,
+        };
+        self.apply_silence(lifetime, new)
+    }
+
+    /// Applies what another instance knows of the time in which an upstream wants nothing;
+    /// this one returns `return_delay_ms` later.
+    pub fn merge_silence(
+        &mut self,
+        report: &NoticeReport,
+        return_delay_ms: u64,
+        now_ms: u64,
+    ) -> NoticeChange {
+        let Some(silence) = report.silence.filter(|silence| silence.left_ms > 0) else {
+            return NoticeChange::None;
+        };
+        let left_ms = to_i64(silence.left_ms.min(MAX_SILENCE_MS));
+        let until_ms = to_i64(now_ms).saturating_add(left_ms);
+        let new = KnownSilence {
+            id: silence.id,
+            received_ms: to_i64(now_ms).saturating_sub(to_i64(silence.age_ms)),
+            until_ms,
+            told_until_ms: until_ms,
+            return_delay_ms,
+        };
+        self.apply_silence(&report.lifetime, new)
+    }
+
+    fn apply_silence(&mut self, lifetime: &UpstreamLifetime, new: KnownSilence) -> NoticeChange {
+        let Some(entry) = self.entry_of_process(lifetime) else {
+            return NoticeChange::None;
+        };
+        if let Some(known) = &mut entry.silence {
+            // What comes back by another instance has aged on the way.
+            if known.id == new.id || known.until_ms >= new.until_ms {
+                return NoticeChange::None;
+            }
+            if new.until_ms < known.told_until_ms.saturating_add(MIN_EXTENSION_MS) {
+                known.until_ms = new.until_ms;
+                return NoticeChange::None;
+            }
+        }
+        entry.silence = Some(new);
+        self.on_change(&lifetime.upstream);
+        NoticeChange::Silence
+    }
+
+    /// Applies what another instance knows of the leaving of an upstream.
+    pub fn merge(&mut self, report: &NoticeReport, now_ms: u64) -> NoticeChange {
+        let at = |age_ms| to_i64(now_ms).saturating_sub(to_i64(age_ms));
+        let Some(leaving) = report.leaving else {
+            return NoticeChange::None;
+        };
+        let new = Leaving {
+            is_leaving: leaving.is_leaving,
+            sent_ms: at(leaving.sent_age_ms),
+            received_ms: at(leaving.received_age_ms),
+        };
+        if !new.is_leaving && is_forgotten(new.received_ms, now_ms) {
+            return NoticeChange::None;
+        }
+        self.apply_leaving(&report.lifetime, new)
+    }
+
+    fn apply_leaving(&mut self, lifetime: &UpstreamLifetime, new: Leaving) -> NoticeChange {
+        let Some(entry) = self.entry_of_process(lifetime) else {
+            return NoticeChange::None;
+        };
+        let before = entry.is_leaving();
+        entry.leaving = Some(match entry.leaving {
+            None => new,
+            Some(known) => known.updated(new),
+        });
+        let change = match (before, entry.is_leaving()) {
+            (false, true) => NoticeChange::Leaving,
+            (true, false) => NoticeChange::Staying,
+            _ => NoticeChange::None,
+        };
+        if change != NoticeChange::None {
+            self.on_change(&lifetime.upstream);
+        }
+        change
+    }
+
+    /// The entry of a process, which replaces that of an earlier one; `None` if the known
+    /// one is later.
+    fn entry_of_process(&mut self, lifetime: &UpstreamLifetime) -> Option<&mut Entry> {
+        let upstream = &lifetime.upstream;
+        let started_at_ms = lifetime.started_at_ms;
+        let known_ms = self
+            .by_upstream
+            .get(upstream)
+            .map(|entry| entry.started_at_ms);
+        let must_replace = match known_ms {
+            None => true,
+            Some(known_ms) if is_other_process(known_ms, started_at_ms) => {
+                if started_at_ms < known_ms {
+                    return None;
+                }
+                true
+            }
+            Some(_) => false,
+        };
+        if must_replace {
+            if known_ms.is_none() {
+                self.make_room();
+            }
+            let entry = Entry {
+                started_at_ms,
+                leaving: None,
+                silence: None,
+                changed_at: 0,
+            };
+            self.by_upstream.insert(Arc::clone(upstream), entry);
+        }
+        self.by_upstream.get_mut(upstream)
+    }
+
+    fn entry(&self, upstream: &str, started_at_ms: u64) -> Option<&Entry> {
+        let entry = self.by_upstream.get(upstream)?;
+        (!is_other_process(entry.started_at_ms, started_at_ms)).then_some(entry)
+    }
+
+    /// Removes what is no longer needed, and upstreams that `is_present` does not know any
+    /// more.
+    pub fn expire(&mut self, now_ms: u64, is_present: impl Fn(&str) -> bool) {
+        self.by_upstream.retain(|upstream, entry| {
+            let may_go = !entry.is_leaving() || !is_present(upstream);
+            !(may_go && is_forgotten(entry.heard_ms(), now_ms))
+        });
+    }
+
+    /// The report on one upstream, if it has ever said something.
+    #[must_use]
+    pub fn report(&self, upstream: &str, now_ms: u64) -> Option<NoticeReport> {
+        let (upstream, entry) = self.by_upstream.get_key_value(upstream)?;
+        let age_ms = |at_ms: i64| to_u64(to_i64(now_ms).saturating_sub(at_ms));
+        Some(NoticeReport {
+            lifetime: UpstreamLifetime {
+                upstream: Arc::clone(upstream),
+                started_at_ms: entry.started_at_ms,
+            },
+            leaving: entry.leaving.map(|leaving| LeavingReport {
+                is_leaving: leaving.is_leaving,
+                sent_age_ms: age_ms(leaving.sent_ms),
+                received_age_ms: age_ms(leaving.received_ms),
+            }),
+            silence: entry.silence.and_then(|silence| {
+                let left_ms = to_u64(silence.until_ms.saturating_sub(to_i64(now_ms)));
+                (left_ms > 0).then(|| SilenceReport {
+                    id: silence.id,
+                    age_ms: age_ms(silence.received_ms),
+                    left_ms,
+                })
+            }),
+        })
+    }
+
+    /// The reports that changed after a position, oldest change first and at most
+    /// `max_count` of them, and the position after them.
+    #[must_use]
+    pub fn reports_after(
+        &self,
+        position: u64,
+        max_count: usize,
+        now_ms: u64,
+    ) -> (Vec<NoticeReport>, u64) {
+        let mut changed = Vec::new();
+        for (upstream, entry) in &self.by_upstream {
+            if entry.changed_at > position {
+                changed.push((entry.changed_at, upstream));
+            }
+        }
+        changed.sort_unstable();
+        changed.truncate(max_count);
+        let next = changed.last().map_or(position, |(at, _)| *at);
+        let reports = changed
+            .into_iter()
+            .filter_map(|(_, upstream)| self.report(upstream, now_ms));
+        (reports.collect(), next)
+    }
+
+    /// What is known of one upstream, for log lines.
+    #[must_use]
+    pub fn describe(&self, upstream: &str, now_ms: u64) -> String {
+        let Some(entry) = self.by_upstream.get(upstream) else {
+            return format!("{upstream} unknown");
+        };
+        let age_ms = to_i64(now_ms).saturating_sub(entry.heard_ms());
+        let left_ms = entry.silence_left_ms(now_ms);
+        format!(
+            "{upstream} leaving={} quiet_for_ms={left_ms} age_ms={age_ms}",
+            entry.is_leaving()
+        )
+    }
+
+    /// A hash of the notices in force, which is the same for instances that know the same.
+    #[must_use]
+    pub fn digest(&self, now_ms: u64) -> u64 {
+        let mut digest = 0_u64;
+        for (upstream, entry) in &self.by_upstream {
+            let silence = entry.silence.filter(|_| entry.is_quiet(now_ms));
+            let silence_id = silence.map(|silence| silence.id);
+            if !entry.is_leaving() && silence_id.is_none() {
+                continue;
+            }
+            let mut hasher = DefaultHasher::new();
+            let facts = (entry.started_at_ms, entry.is_leaving(), silence_id);
+            (upstream, facts).hash(&mut hasher);
+            digest = digest.wrapping_add(hasher.finish());
+        }
+        digest
+    }
+
+    fn make_room(&mut self) {
+        if self.by_upstream.len() < MAX_ENTRIES {
+            return;
+        }
+        let entries = self.by_upstream.iter();
+        let oldest = entries.min_by_key(|(_, entry)| (entry.is_leaving(), entry.heard_ms()));
+        if let Some(upstream) = oldest.map(|(upstream, _)| Arc::clone(upstream)) {
+            self.by_upstream.remove(&upstream);
+        }
+    }
+
+    fn on_change(&mut self, upstream: &str) {
+        self.changes += 1;
+        if let Some(entry) = self.by_upstream.get_mut(upstream) {
+            entry.changed_at = self.changes;
+        }
+    }
+}
+
+impl Entry {
+    fn is_leaving(&self) -> bool {
+        self.leaving.is_some_and(|leaving| leaving.is_leaving)
+    }
+
+    fn is_quiet(&self, now_ms: u64) -> bool {
+        self.silence_left_ms(now_ms) > 0
+    }
+
+    fn silence_left_ms(&self, now_ms: u64) -> u64 {
+        self.silence.map_or(0, |silence| {
+            let until_ms = silence
+                .until_ms
+                .saturating_add(to_i64(silence.return_delay_ms));
+            to_u64(until_ms.saturating_sub(to_i64(now_ms)))
+        })
+    }
+
+    /// When the upstream last said something of importance.
+    fn heard_ms(&self) -> i64 {
+        let left_ms = self.leaving.map(|leaving| leaving.received_ms);
+        let quiet_ms = self.silence.map(|silence| silence.received_ms);
+        left_ms.max(quiet_ms).unwrap_or(i64::MIN)
+    }
+}
+
+impl Leaving {
+    /// This, with what the same process said before or after it.
+    fn updated(self, new: Self) -> Self {
+        match (self.is_leaving, new.is_leaving) {
+            (true, true) => Self {
+                is_leaving: true,
+                sent_ms: self.sent_ms.max(new.sent_ms),
+                received_ms: self.received_ms.max(new.received_ms),
+            },
+            (true, false) => {
+                if new.sent_ms >= self.received_ms.saturating_add(END_MARGIN_MS) {
+                    new
+                } else {
+                    self
+                }
+            }
+            (false, true) => {
+                if self.sent_ms >= new.received_ms.saturating_add(END_MARGIN_MS) {
+                    self
+                } else {
+                    new
+                }
+            }
+            (false, false) if new.sent_ms > self.sent_ms => new,
+            (false, false) => self,
+        }
+    }
+}
+
+/// Whether two starts, in Unix milliseconds and 0 if unknown, are of two processes.
+fn is_other_process(known_ms: u64, other_ms: u64) -> bool {
+    known_ms != 0 && other_ms != 0 && known_ms != other_ms
+}
+
+fn is_forgotten(at_ms: i64, now_ms: u64) -> bool {
+    to_i64(now_ms).saturating_sub(at_ms) > ENDED_RETENTION_MS
+}
+
+fn to_i64(time_ms: u64) -> i64 {
+    i64::try_from(time_ms).unwrap_or(i64::MAX)
+}
+
+fn to_u64(time_ms: i64) -> u64 {
+    u64::try_from(time_ms).unwrap_or(0)
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use super::sending::{SendOutcome, send};
 use super::state::Gateway;
 use super::store::Platform;
+use super::unwanted;
 use crate::decision::admission::{Admission, PROBE_AGAIN_DELAY_MS, PendingRequest};
 
 /// Retry delay for callers whose request was held past its deadline, as by an instance
@@ -76,7 +77,7 @@
                 continue;
             }
             AttemptEnd::Unsent if has_unsent_left(&history) => continue,
-            AttemptEnd::Unsent => not_run(gateway, call, &history),
+            AttemptEnd::Unsent => not_run(gateway, call, &service, &history),
             AttemptEnd::Ended(outcome) => outcome,
         };
         let may_retry = call.route.is_idempotent || !history.may_have_run;
@@ -103,7 +104,7 @@
             | AttemptEnd::Refused(outcome) => return Some(outcome),
             AttemptEnd::NoContact => return None,
             AttemptEnd::Unsent if has_unsent_left(history) => {}
-            AttemptEnd::Unsent => return Some(not_run(gateway, call, history)),
+            AttemptEnd::Unsent => return Some(not_run(gateway, call, service, history)),
         }
     }
 }
@@ -158,7 +159,7 @@
             AttemptEnd::Ended(Outcome::Answered(response))
         }
         SendOutcome::Unsent => AttemptEnd::Unsent,
-        SendOutcome::NotRun => AttemptEnd::Ended(not_run(gateway, call, history)),
+        SendOutcome::NotRun => AttemptEnd::Ended(not_run(gateway, call, service, history)),
         SendOutcome::Failed(reason) => {
             history.may_have_run = true;
             AttemptEnd::Ended(Outcome::gateway_error(reason))
@@ -170,8 +171,15 @@
     history.tried.len().saturating_sub(history.sends) < MAX_UNSENT
 }
 
-fn not_run<P: Platform>(gateway: &Gateway<P>, call: &Call, history: &AttemptHistory) -> Outcome {
-    let refusal = Outcome::refused(Reason::Refused, retry_after_ms(gateway, call));
+fn not_run<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    service: &str,
+    history: &AttemptHistory,
+) -> Outcome {
+    let return_ms = unwanted::return_ms(gateway, service);
+    let return_ms = return_ms.unwrap_or_else(|| retry_after_ms(gateway, call));
+    let refusal = Outcome::refused(Reason::Refused, return_ms);
     history.correct_refusal(refusal)
 }
 
@@ -225,6 +233,9 @@
             let refusal = Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS);
             return Err(AttemptEnd::Refused(refusal));
         }
+        if let Some(refusal) = unwanted::refuse(gateway, call, service) {
+            return Err(AttemptEnd::Refused(refusal));
+        }
         if let Some(chosen) = limited_choice::choose(gateway, call, service, tried, false).await {
             return Ok(chosen);
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,7 +16,8 @@
 use super::store::{Platform, Stream};
 use super::supervisor::keep_running;
 use super::{
-    follower, limit_exchange, lost_records, reader_role, relay, suspect_records, upstream_contact,
+    follower, limit_exchange, lost_records, notice_exchange, reader_role, relay, suspect_records,
+    upstream_contact,
 };
 use crate::process::run::RunError;
 
@@ -126,6 +127,7 @@
     spawn(gateway, "stored-suspects", suspect_records::keep_stored);
     spawn(gateway, "upstream-contact", upstream_contact::run);
     spawn(gateway, "limits", limit_exchange::run);
+    spawn(gateway, "notices", notice_exchange::run);
     spawn(gateway, "lost-records", lost_records::rewrite);
     spawn(gateway, "expiry", remove_expired);
 }
@@ -162,6 +164,7 @@
         gateway
             .limits
             .expire(now_ms, |id| view.directory.get(id).is_some());
+        gateway.expire_notices(|id| view.directory.get(id).is_some());
         gateway.peers.retain(|address| {
             let instances = view.instances.values();
             instances
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -16,6 +16,7 @@
 use super::state::{Gateway, RouteMeans};
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
+use super::upstream_notices::read_notice;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::decision::ejection::Evidence;
 use crate::decision::selection::{Reading, USUAL_SPEED_PERCENT, expected_ms};
@@ -110,12 +111,17 @@
             return SendOutcome::Unsent;
         }
     };
-    if permit.as_mut().is_some_and(|permit| !permit.try_use()) {
-        tracing::info!(
-            request = call.id_text(),
-            upstream = %client.id,
-            "request not sent: its permit has expired"
-        );
+    let obstacle = if !gateway.is_wanted_by(&chosen.upstream.report) {
+        Some("the upstream takes none now")
+    } else if permit.as_mut().is_some_and(|permit| !permit.try_use()) {
+        Some("its permit has expired")
+    } else {
+        None
+    };
+    if let Some(why) = obstacle {
+        if gateway.log_budget.take() {
+            tracing::info!(request = call.id_text(), upstream = %client.id, why, "request not sent");
+        }
         guard.is_finished = true;
         client.ejection().on_abandoned();
         client.release(connection);
@@ -132,9 +138,9 @@
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
         Some(Ok(response)) => {
-            note_limit(gateway, &client, &response, sent_at);
+            let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
-            let sent = classify_response(gateway, call, &client, response);
+            let sent = classify_response(gateway, call, &client, response, asks_silence);
             if call.id.is_some() {
                 client.release(connection);
             }
@@ -207,16 +213,16 @@
     }
 }
 
-/// Records what a response says of its upstream's limit; a response of another process
-/// than the expected one says nothing.
-fn note_limit<P: Platform>(
+/// Records what a response says of its upstream; a response of another process than the
+/// expected one says nothing. Returns whether it asks for silence.
+fn note_statements<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     client: &UpstreamClient,
     response: &HttpResponse,
     sent_at: Instant,
-) {
+) -> bool {
     if response.status == StatusCode::MISDIRECTED_REQUEST {
-        return;
+        return false;
     }
     let names = gateway.platform.headers();
     let kind = if response.headers.contains_key(&names.stamp) {
@@ -226,6 +232,9 @@
     };
     let limit = read_limit(&response.headers, &names.rate_limit);
     gateway.on_named_limit(client, limit, sent_at, kind);
+    let notice = read_notice(response, names, &client.id);
+    gateway.on_notice(client, notice, sent_at, kind);
+    notice.is_some_and(|notice| notice.asks_silence())
 }
 
 /// Decides whether a response shows that the request ran, and records it in the
@@ -235,6 +244,7 @@
     call: &Call,
     client: &UpstreamClient,
     response: HttpResponse,
+    asks_silence: bool,
 ) -> SendOutcome {
     let names = gateway.platform.headers();
     let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
@@ -245,14 +255,24 @@
     let (evidence, sent) = if is_misdirected {
         (Evidence::Unreachable, SendOutcome::NotRun)
     } else if is_not_run {
-        (Evidence::Shed, SendOutcome::NotRun)
+        let evidence = if asks_silence {
+            Evidence::TurnedAway
+        } else {
+            Evidence::Shed
+        };
+        (evidence, SendOutcome::NotRun)
     } else if is_unstamped {
         (
             Evidence::Failed,
             SendOutcome::Failed(Reason::UpstreamFailed),
         )
     } else if response.status.is_server_error() {
-        (Evidence::Failed, SendOutcome::Answered(response))
+        let evidence = if asks_silence {
+            Evidence::TurnedAway
+        } else {
+            Evidence::Failed
+        };
+        (evidence, SendOutcome::Answered(response))
     } else {
         (Evidence::Served, SendOutcome::Answered(response))
     };
@@ -333,6 +353,7 @@
         Evidence::Served => "served",
         Evidence::Failed => "failed",
         Evidence::Shed => "shed",
+        Evidence::TurnedAway => "turned-away",
         Evidence::Unreachable => "misdirected",
     });
     if evidence != Evidence::Served && gateway.log_budget.take() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use super::taken::TakenState;
 use super::upstream_client::UpstreamClients;
 use super::upstream_contact::ContactState;
+use super::upstream_notices::NoticeState;
 use super::view::{Event, Extent, View};
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
@@ -93,6 +94,8 @@
     pub peers: Peers,
     /// Rates that upstreams take from the whole fleet.
     pub limits: LimitState,
+    /// What upstreams say about whether they take requests.
+    pub notices: NoticeState,
     /// Whether any upstream answers this instance.
     pub contact: ContactState,
     /// Offers of other instances to take requests.
@@ -142,6 +145,7 @@
             suspects: SuspectState::default(),
             peers: Peers::default(),
             limits: LimitState::default(),
+            notices: NoticeState::default(),
             contact: ContactState::default(),
             offers: OfferState::default(),
             taken: TakenState::default(),
@@ -455,9 +459,18 @@
         lock(&self.probe_budget).acquire_up_to(service, limit, wanted, self.now_ms())
     }
 
-    /// Ready upstreams of a service, without those in evacuated data centres.
+    /// Ready upstreams of a service, without those in evacuated data centres and those that
+    /// say that they take no requests.
     #[must_use]
     pub fn eligible_upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
+        let mut upstreams = self.ready_upstreams(service);
+        upstreams.retain(|upstream| self.is_wanted_by(&upstream.report));
+        upstreams
+    }
+
+    /// Ready upstreams of a service, without those in evacuated data centres.
+    #[must_use]
+    pub fn ready_upstreams(&self, service: &str) -> Vec<Arc<Upstream>> {
         let view = self.view();
         let mut upstreams = Vec::new();
         for upstream in view.directory.ready_upstreams(service) {
@@ -479,6 +492,7 @@
         let report = &upstream.report;
         view.directory.may_send(report, is_healthy, now_ms)
             && !view.evacuated.contains(&report.data_centre)
+            && self.is_wanted_by(report)
     }
 
     /// The moving averages of a route.
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -11,7 +11,7 @@
 
 use super::calls::to_ms;
 use super::offers;
-use super::rate_limits::AnswerKind;
+use super::rate_limits::{AnswerKind, probe_answer_kind};
 use super::state::Gateway;
 use super::store::Platform;
 use super::upstream_client::{ListenState, UpstreamClient, evidence_of};
@@ -299,6 +299,8 @@
             gateway.on_upstream_answer(&client.id);
             let limit = probed.named_limit;
             gateway.on_named_limit(&client, limit, sent_at, AnswerKind::Probe);
+            let kind = probe_answer_kind(&probed.reading);
+            gateway.on_notice(&client, probed.notice, sent_at, kind);
             client.release(probed.connection);
         }
         Err(error) => {
