--- a/src/decision/upstream_notices.rs
+++ b/src/decision/upstream_notices.rs
@@ -8,14 +8,17 @@
 //! a notice too early. Of several times in which an upstream wants nothing, the one that
 //! ends last counts.
 
+mod entry;
+
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use self::entry::{Entry, KnownSilence, Leaving, to_i64, to_u64};
 use super::crash_suspects::UpstreamLifetime;
+use super::notice_headers::MAX_SILENCE_MS;
 
 /// Upstreams in a table; further ones replace the one that spoke longest ago. More than
 /// five times the upstreams of the largest fleet planned for.
@@ -23,84 +26,10 @@
 /// Time for which what has ended is remembered, so that an older report which arrives late
 /// does not bring it back.
 const ENDED_RETENTION_MS: i64 = 60_000;
-/// Time between the last answer that says that an upstream leaves and the send of the
-/// request whose answer ends that; more than reports take between instances.
-const END_MARGIN_MS: i64 = 1_000;
-
-/// Longest time for which an upstream is believed to want nothing, in milliseconds: a wrong
-/// unit or a slip must not put it away, and one that still wants nothing says so again.
-const MAX_SILENCE_MS: u64 = 30_000;
-/// Extension of that time that other instances are told of, in milliseconds; the answers to
+/// Extension of a time in which an upstream wants nothing that other instances are told of, in milliseconds; the answers to
 /// requests in flight together each extend it a little.
 const MIN_EXTENSION_MS: i64 = 100;
 
-/// Why the value of a header is unusable.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum InvalidNotice {
-    /// The values that an upstream leaves.
-    #[error("whether an upstream leaves must be 1 or 0, in all values the same")]
-    Leaving,
-    /// The values of the time for which an upstream wants nothing.
-    #[error("the time for which an upstream wants nothing must be a decimal number of seconds")]
-    Silence,
-}
-
-/// Parses the values of all headers of one response that say whether the upstream leaves;
-/// an upstream that says nothing does not leave.
-///
-/// # Errors
-/// Returns an error if a value is neither 0 nor 1, or if they differ.
-pub fn parse_leaving<'v>(values: impl Iterator<Item = &'v [u8]>) -> Result<bool, InvalidNotice> {
-    let mut known = None;
-    for value in values {
-        let is_leaving = match value.trim_ascii() {
-            b"1" => true,
-            b"0" => false,
-            _ => return Err(InvalidNotice::Leaving),
-        };
-        if known.is_some_and(|known| known != is_leaving) {
-            return Err(InvalidNotice::Leaving);
-        }
-        known = Some(is_leaving);
-    }
-    Ok(known.unwrap_or(false))
-}
-
-/// Parses the values of all headers of one response that say for how long its upstream
-/// wants nothing, and returns the longest valid time in milliseconds; `None` if there is no
-/// header.
-///
-/// # Errors
-/// Returns an error if there are values but none is valid.
-pub fn parse_silence_ms<'v>(
-    values: impl Iterator<Item = &'v [u8]>,
-) -> Result<Option<u64>, InvalidNotice> {
-    let mut longest_ms = None;
-    let mut has_values = false;
-    for value in values {
-        has_values = true;
-        let text = std::str::from_utf8(value).unwrap_or_default();
-        for part in text.split(',') {
-            longest_ms = longest_ms.max(parse_time_ms(part.trim()));
-        }
-    }
-    if has_values && longest_ms.is_none() {
-        return Err(InvalidNotice::Silence);
-    }
-    Ok(longest_ms)
-}
-
-fn parse_time_ms(text: &str) -> Option<u64> {
-    let is_decimal = text
-        .bytes()
-        .all(|byte| byte.is_ascii_digit() || byte == b'.');
-    let time_s: f64 = text.parse().ok().filter(|_| is_decimal)?;
-    // More digits than a number holds are a huge time, which is cut as well.
-    let max_s = Duration::from_millis(MAX_SILENCE_MS).as_secs_f64();
-    let time = Duration::try_from_secs_f64(time_s.min(max_s)).ok()?;
-    u64::try_from(time.as_millis()).ok()
-}
-
 /// That an upstream wants nothing for a time, as its answer said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Silence {
@@ -172,31 +101,6 @@
     pub received_age_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Leaving {
-    is_leaving: bool,
-    sent_ms: i64,
-    received_ms: i64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct KnownSilence {
-    id: u64,
-    received_ms: i64,
-    until_ms: i64,
-    /// End that other instances were told.
-    told_until_ms: i64,
-    return_delay_ms: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Entry {
-    started_at_ms: u64,
-    leaving: Option<Leaving>,
-    silence: Option<KnownSilence>,
-    changed_at: u64,
-}
-
 /// Notices of upstreams by the upstreams' names, as this instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamNotices {
@@ -524,61 +428,6 @@
     }
 }
 
-impl Entry {
-    fn is_leaving(&self) -> bool {
-        self.leaving.is_some_and(|leaving| leaving.is_leaving)
-    }
-
-    fn is_quiet(&self, now_ms: u64) -> bool {
-        self.silence_left_ms(now_ms) > 0
-    }
-
-    fn silence_left_ms(&self, now_ms: u64) -> u64 {
-        self.silence.map_or(0, |silence| {
-            let until_ms = silence
-                .until_ms
-                .saturating_add(to_i64(silence.return_delay_ms));
-            to_u64(until_ms.saturating_sub(to_i64(now_ms)))
-        })
-    }
-
-    /// When the upstream last said something of importance.
-    fn heard_ms(&self) -> i64 {
-        let left_ms = self.leaving.map(|leaving| leaving.received_ms);
-        let quiet_ms = self.silence.map(|silence| silence.received_ms);
-        left_ms.max(quiet_ms).unwrap_or(i64::MIN)
-    }
-}
-
-impl Leaving {
-    /// This, with what the same process said before or after it.
-    fn updated(self, new: Self) -> Self {
-        match (self.is_leaving, new.is_leaving) {
-            (true, true) => Self {
-                is_leaving: true,
-                sent_ms: self.sent_ms.max(new.sent_ms),
-                received_ms: self.received_ms.max(new.received_ms),
-            },
-            (true, false) => {
-                if new.sent_ms >= self.received_ms.saturating_add(END_MARGIN_MS) {
-                    new
-                } else {
-                    self
-                }
-            }
-            (false, true) => {
-                if self.sent_ms >= new.received_ms.saturating_add(END_MARGIN_MS) {
-                    self
-                } else {
-                    new
-                }
-            }
-            (false, false) if new.sent_ms > self.sent_ms => new,
-            (false, false) => self,
-        }
-    }
-}
-
 /// Whether two starts, in Unix milliseconds and 0 if unknown, are of two processes.
 fn is_other_process(known_ms: u64, other_ms: u64) -> bool {
     known_ms != 0 && other_ms != 0 && known_ms != other_ms
@@ -587,11 +436,3 @@
 fn is_forgotten(at_ms: i64, now_ms: u64) -> bool {
     to_i64(now_ms).saturating_sub(at_ms) > ENDED_RETENTION_MS
 }
-
-fn to_i64(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
-
-fn to_u64(time_ms: i64) -> u64 {
-    u64::try_from(time_ms).unwrap_or(0)
-}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod limit_exchange;
 pub mod limited_choice;
 pub mod logging;
+pub mod long_poll_checks;
 pub mod lost_records;
 pub mod metrics;
 pub mod notice_exchange;
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -2,13 +2,13 @@
 //! instances while the store is unreachable.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
+use super::long_poll_checks::CheckedLongPoll;
 use super::relay;
 use super::state::Gateway;
 use super::store::{Platform, Records, StoreError, Stream};
@@ -23,7 +23,7 @@
 
 impl Stream {
     /// Wait of a long poll. It is short, so that a part of the store that hangs is
-    /// detected within the platform's bounds; [`check_long_polls`] does that for the
+    /// detected within the platform's bounds; [`super::long_poll_checks`] does that for the
     /// operator stream, whose bound is shorter.
     fn long_poll_wait(self) -> Duration {
         match self {
@@ -47,13 +47,7 @@
 const FIRST_READ_PAUSE: Duration = Duration::from_millis(700);
 /// Time within which a healthy store responds to a read without a wait; ten times
 /// the usual 4 ms.
-const PROMPT_RESPONSE_TIME: Duration = Duration::from_millis(40);
-/// Delay between the start of a long poll and the first short poll that checks it; an
-/// append to the store takes a tenth of it.
-const LONG_POLL_CHECK_DELAY: Duration = Duration::from_millis(300);
-/// Interval of further checks of the same long poll, which may hang for its whole wait. It
-/// leaves a quarter of the platform's bound of 2 s for the check and for telling followers.
-const LONG_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+pub const PROMPT_RESPONSE_TIME: Duration = Duration::from_millis(40);
 /// Wait of the next long poll of upstreams after one that returned records.
 const WAIT_AFTER_RECORDS: Duration = Duration::from_millis(1_200);
 /// Pause between short polls while the store is slow.
@@ -299,82 +293,11 @@
     role.wait_for(|now| *now == is_reader).await.is_ok()
 }
 
-/// Marks a long poll of the operator stream as in flight until it is dropped.
-struct CheckedLongPoll<'g> {
-    in_flight: &'g watch::Sender<Option<u64>>,
-}
-
-impl<'g> CheckedLongPoll<'g> {
-    fn begin(in_flight: &'g watch::Sender<Option<u64>>) -> Self {
-        static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
-        in_flight.send_replace(Some(NEXT_NUMBER.fetch_add(1, Ordering::Relaxed)));
-        Self { in_flight }
-    }
-}
-
-impl Drop for CheckedLongPoll<'_> {
-    fn drop(&mut self) {
-        self.in_flight.send_replace(None);
-    }
-}
-
-/// Checks each long poll of the operator stream by short polls, soon after its start and
-/// then at every interval.
+/// Reads a stream: its newest records, or those that follow the known ones.
 ///
-/// The store may miss a record that is written while a long poll arrives; it then
-/// responds to the poll only at the next record. A part of the store may also hang while
-/// the others respond, and a poll that hangs looks like one without news.
-pub async fn check_long_polls<P: Platform>(gateway: Arc<Gateway<P>>) {
-    let mut in_flight = gateway.operator_long_poll.subscribe();
-    loop {
-        // The sender belongs to the gateway, so it is not closed.
-        let Ok(poll) = in_flight.wait_for(Option::is_some).await.map(|poll| *poll) else {
-            return;
-        };
-        let mut delay = LONG_POLL_CHECK_DELAY;
-        loop {
-            let has_ended = in_flight.wait_for(|now| *now != poll);
-            if timeout(delay, has_ended).await.is_ok() {
-                break;
-            }
-            check_operator_stream(&gateway).await;
-            delay = LONG_POLL_CHECK_INTERVAL;
-        }
-    }
-}
-
-async fn check_operator_stream<P: Platform>(gateway: &Gateway<P>) {
-    if !*gateway.watch_reader_role().borrow() {
-        return;
-    }
-    let began = Instant::now();
-    match read_stream(gateway, Stream::Operator, true, Duration::ZERO).await {
-        Ok(records) => {
-            gateway.metrics.on_store_call(true);
-            gateway
-                .stream_ages
-                .confirm(Stream::Operator, gateway.now_ms());
-            if began.elapsed() > PROMPT_RESPONSE_TIME {
-                gateway.store_recheck.notify_waiters();
-            }
-            if records.era == gateway.view().copy(Stream::Operator).era {
-                if !records.records.is_empty() {
-                    gateway.operator_poll_missed_records.notify_waiters();
-                }
-                gateway.apply_records(Stream::Operator, records, Extent::Following, "store");
-            } else {
-                gateway.store_recheck.notify_waiters();
-            }
-        }
-        Err(error) => {
-            gateway.metrics.on_store_call(false);
-            tracing::info!(%error, "the check of a long poll failed; reading the streams anew");
-            gateway.store_recheck.notify_waiters();
-        }
-    }
-}
-
-async fn read_stream<P: Platform>(
+/// # Errors
+/// Returns an error if the call to the store fails.
+pub async fn read_stream<P: Platform>(
     gateway: &Gateway<P>,
     stream: Stream,
     is_loaded: bool,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,8 +16,8 @@
 use super::store::{Platform, Stream};
 use super::supervisor::keep_running;
 use super::{
-    follower, limit_exchange, lost_records, notice_exchange, reader_role, relay, suspect_records,
-    upstream_contact,
+    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, reader_role, relay,
+    suspect_records, upstream_contact,
 };
 use crate::process::run::RunError;
 
@@ -122,7 +122,11 @@
         });
     }
     spawn(gateway, "reader-role", reader_role::run);
-    spawn(gateway, "check-long-polls", follower::check_long_polls);
+    spawn(
+        gateway,
+        "check-long-polls",
+        long_poll_checks::check_long_polls,
+    );
     spawn(gateway, "register", follower::register_instance);
     spawn(gateway, "stored-suspects", suspect_records::keep_stored);
     spawn(gateway, "upstream-contact", upstream_contact::run);
--- a/src/gateway/upstream_notices.rs
+++ b/src/gateway/upstream_notices.rs
@@ -16,9 +16,9 @@
 use crate::connection::exchange::HttpResponse;
 use crate::decision::crash_suspects::UpstreamLifetime;
 use crate::decision::directory::UpstreamReport;
+use crate::decision::notice_headers::{InvalidNotice, parse_leaving, parse_silence_ms};
 use crate::decision::upstream_notices::{
-    InvalidNotice, NoticeChange, NoticeReport, Silence, Statement, UpstreamNotices, parse_leaving,
-    parse_silence_ms,
+    NoticeChange, NoticeReport, Silence, Statement, UpstreamNotices,
 };
 
 /// Longest delay, in milliseconds, with which an instance returns to an upstream that wanted
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -17,8 +17,8 @@
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
 use chicorywing::gateway::{
-    follower, limit_exchange, lost_records, notice_exchange, reader_role, relay, suspect_records,
-    upstream_contact,
+    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, reader_role, relay,
+    suspect_records, upstream_contact,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
@@ -519,7 +519,7 @@
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
         tokio::spawn(follower::follow(Arc::clone(&gateway), stream));
     }
-    tokio::spawn(follower::check_long_polls(Arc::clone(&gateway)));
+    tokio::spawn(long_poll_checks::check_long_polls(Arc::clone(&gateway)));
     tokio::spawn(follower::register_instance(Arc::clone(&gateway)));
     tokio::spawn(reader_role::run(Arc::clone(&gateway)));
     tokio::spawn(limit_exchange::run(Arc::clone(&gateway)));
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chicorywing::gateway::follower;
+use chicorywing::gateway::long_poll_checks;
 use chicorywing::gateway::relay;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
@@ -24,7 +25,7 @@
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
         tokio::spawn(follower::follow(Arc::clone(gateway), stream));
     }
-    tokio::spawn(follower::check_long_polls(Arc::clone(gateway)));
+    tokio::spawn(long_poll_checks::check_long_polls(Arc::clone(gateway)));
 }
 
 fn version(gateway: &Gateway<FakePlatform>) -> u64 {
--- a/tests/gateway/reader_role.rs
+++ b/tests/gateway/reader_role.rs
@@ -9,7 +9,7 @@
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
 use chicorywing::gateway::view::Extent;
-use chicorywing::gateway::{follower, reader_role, relay};
+use chicorywing::gateway::{follower, long_poll_checks, reader_role, relay};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -50,9 +50,9 @@
             let follow = follower::follow(Arc::clone(&gateway), stream);
             tasks.push(tokio::spawn(follow));
         }
-        tasks.push(tokio::spawn(follower::check_long_polls(Arc::clone(
-            &gateway,
-        ))));
+        tasks.push(tokio::spawn(long_poll_checks::check_long_polls(
+            Arc::clone(&gateway),
+        )));
         tasks.push(tokio::spawn(follower::register_instance(Arc::clone(
             &gateway,
         ))));
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicorywing::gateway::follower;
+use chicorywing::gateway::long_poll_checks;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::{KeyedRecord, Records, Stream};
@@ -34,7 +35,7 @@
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
         tokio::spawn(follower::follow(Arc::clone(&gateway), stream));
     }
-    tokio::spawn(follower::check_long_polls(Arc::clone(&gateway)));
+    tokio::spawn(long_poll_checks::check_long_polls(Arc::clone(&gateway)));
     within(BOUND, "all is read", || ready_upstreams(&gateway) == 3).await;
     sleep(Duration::from_secs(5)).await;
     gateway
--- a/tests/upstream_notices.rs
+++ b/tests/upstream_notices.rs
@@ -5,9 +5,9 @@
 
 use chicorywing::decision::crash_suspects::UpstreamLifetime;
 use chicorywing::decision::ejection::{EjectionState, Evidence};
+use chicorywing::decision::notice_headers::{parse_leaving, parse_silence_ms};
 use chicorywing::decision::upstream_notices::{
-    LeavingReport, NoticeChange, NoticeReport, Silence, Statement, UpstreamNotices, parse_leaving,
-    parse_silence_ms,
+    LeavingReport, NoticeChange, NoticeReport, Silence, Statement, UpstreamNotices,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
