--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -56,12 +56,13 @@
     }
     let began_ms = gateway.now_ms();
     let mut refusal = None;
+    let mut declined = Vec::new();
     let until = call.deadline.min(Instant::now() + SEARCH_TIME);
     while Instant::now() < until {
         if !gateway.offers.is_known(gateway.now_ms()) {
             ask_once(gateway).await;
         }
-        let Some(known) = gateway.offers.take() else {
+        let Some(known) = gateway.offers.take(&declined) else {
             if refusal.is_some() || !is_cut_young(gateway, began_ms) {
                 break;
             }
@@ -74,6 +75,7 @@
             Ok(HandedAnswer::NotTaken { .. }) | Err(HandError::NotSent(_)) => {
                 gateway.metrics.on_handed("not-taken");
                 gateway.offers.remove(known.address);
+                declined.push(known.address);
             }
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
@@ -83,6 +85,7 @@
                 }
                 // It may lack some links, too; another one may have room.
                 gateway.offers.remove(known.address);
+                declined.push(known.address);
                 refusal = Some(end);
             }
             Err(error) => {
--- a/src/gateway/offers.rs
+++ b/src/gateway/offers.rs
@@ -84,16 +84,24 @@
             .is_some_and(|asked| now_ms.saturating_sub(asked) < lifetime_ms)
     }
 
-    /// Takes the less loaded of two random willing instances.
-    pub fn take(&self) -> Option<KnownOffer> {
+    /// Takes the less loaded of two random willing instances, except those that have
+    /// `declined`.
+    pub fn take(&self, declined: &[SocketAddr]) -> Option<KnownOffer> {
         let mut offers = self.offers();
         let is_fresh = |known: &KnownOffer| {
             let no_answer_ms = known.offer.no_answer_ms;
             no_answer_ms.is_some_and(|age| age <= FRESH_CONTACT_MS)
         };
-        let has_fresh = offers.willing.iter().any(is_fresh);
+        let mut others = offers
+            .willing
+            .iter()
+            .filter(|known| !declined.contains(&known.address));
+        let has_fresh = others.any(is_fresh);
         let mut drawn: Vec<&mut KnownOffer> = Vec::new();
         for known in &mut offers.willing {
+            if declined.contains(&known.address) {
+                continue;
+            }
             if is_fresh(known) || !has_fresh {
                 drawn.push(known);
             }
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -211,6 +211,27 @@
     }
 }
 
+// Guards against a request that goes round among receivers that do not take it.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_nobody_takes_is_handed_to_each_receiver_once() {
+    let fleet = Fleet::start_cut(3, 4).await;
+    let unknown = Route {
+        host: "unknown.example".into(),
+        ..route()
+    };
+
+    let outcome = fleet.send(0, &unknown).await;
+
+    let text = fleet.gateway(0).metrics.text();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("chicorywing_handed_total{end=\"not-taken\"}"));
+    let handed: usize = line.unwrap().split(' ').nth(1).unwrap().parse().unwrap();
+    expect_that!(outcome.status().as_u16(), eq(503));
+    expect_that!(handed, all!(ge(1), le(2)));
+}
+
 // Guards against a request that runs twice, or is said not to have run, because the
 // instance that ran it ended.
 #[gtest]
