Share what the tables of exchanged reports have in common

Cause: the table of notices repeated code of the tables of limits and of crash suspects: reports after a position, room in a full table, whether two starts are of two processes, conversions of times.

Change: decision/exchanged_reports has these once; the reports of notices have a file of their own. No behaviour changes.

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -6,6 +6,7 @@
 pub mod crash_suspects;
 pub mod directory;
 pub mod ejection;
+pub mod exchanged_reports;
 pub mod manifest;
 pub mod notice_headers;
 pub mod peer_contacts;
--- a/src/decision/crash_suspects.rs
+++ b/src/decision/crash_suspects.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::exchanged_reports::{changed_after, to_i64};
+
 /// Ends of upstreams after which a request is stopped.
 pub const ENDS_TO_STOP: usize = 3;
 /// Ends among these that no other stopped request accounts for.
@@ -294,18 +296,12 @@
         max_count: usize,
         now_ms: u64,
     ) -> (Vec<SuspectReport>, u64) {
-        let mut changed = Vec::new();
-        for (content, suspect) in &self.by_content {
-            if suspect.changed_at > position {
-                changed.push((suspect.changed_at, *content));
-            }
-        }
-        changed.sort_unstable();
-        changed.truncate(max_count);
-        let next = changed.last().map_or(position, |(at, _)| *at);
+        let suspects = self.by_content.iter();
+        let suspects = suspects.map(|(content, suspect)| (suspect.changed_at, *content));
+        let (changed, next) = changed_after(suspects, position, max_count);
         let reports = changed
             .into_iter()
-            .filter_map(|(_, content)| self.report(content, now_ms));
+            .filter_map(|content| self.report(content, now_ms));
         (reports.collect(), next)
     }
 
@@ -507,7 +503,3 @@
 fn is_expired(last_end_ms: i64, retention_ms: i64, now_ms: u64) -> bool {
     to_i64(now_ms).saturating_sub(last_end_ms) >= retention_ms
 }
-
-fn to_i64(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
--- a/src/decision/rate_limits.rs
+++ b/src/decision/rate_limits.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash_suspects::UpstreamLifetime;
+use super::exchanged_reports::{changed_after, entry_to_replace, is_other_process, to_i64, to_u64};
 
 /// Limits above this rate are ignored: no upstream runs as many requests.
 const MAX_LIMIT_PER_S: f64 = 1_000.0;
@@ -299,18 +300,12 @@
         max_count: usize,
         now_ms: u64,
     ) -> (Vec<LimitReport>, u64) {
-        let mut changed = Vec::new();
-        for (upstream, entry) in &self.by_upstream {
-            if entry.changed_at > position {
-                changed.push((entry.changed_at, upstream));
-            }
-        }
-        changed.sort_unstable();
-        changed.truncate(max_count);
-        let next = changed.last().map_or(position, |(at, _)| *at);
+        let entries = self.by_upstream.iter();
+        let entries = entries.map(|(upstream, entry)| (entry.changed_at, upstream));
+        let (changed, next) = changed_after(entries, position, max_count);
         let reports = changed
             .into_iter()
-            .filter_map(|(_, upstream)| self.report(upstream, now_ms));
+            .filter_map(|upstream| self.report(upstream, now_ms));
         (reports.collect(), next)
     }
 
@@ -343,12 +338,11 @@
     }
 
     fn make_room(&mut self) {
-        if self.by_upstream.len() < MAX_ENTRIES {
-            return;
-        }
         let entries = self.by_upstream.iter();
-        let oldest = entries.min_by_key(|(_, entry)| (entry.per_s.is_some(), entry.received_ms));
-        if let Some(upstream) = oldest.map(|(upstream, _)| Arc::clone(upstream)) {
+        let ranks =
+            entries.map(|(upstream, entry)| (upstream, (entry.per_s.is_some(), entry.received_ms)));
+        let oldest = entry_to_replace(self.by_upstream.len(), MAX_ENTRIES, ranks);
+        if let Some(upstream) = oldest {
             self.by_upstream.remove(&upstream);
         }
     }
@@ -402,19 +396,6 @@
     }
 }
 
-/// Whether two starts, in Unix milliseconds and 0 if unknown, are of two processes.
-fn is_other_process(known_ms: u64, other_ms: u64) -> bool {
-    known_ms != 0 && other_ms != 0 && known_ms != other_ms
-}
-
 fn is_forgotten(received_ms: i64, now_ms: u64) -> bool {
     to_i64(now_ms).saturating_sub(received_ms) > LIFTED_RETENTION_MS
 }
-
-fn to_i64(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
-
-fn to_u64(time_ms: i64) -> u64 {
-    u64::try_from(time_ms).unwrap_or(0)
-}
--- a/src/decision/upstream_notices.rs
+++ b/src/decision/upstream_notices.rs
@@ -9,25 +9,28 @@
 //! ends last counts.
 
 mod entry;
+mod report;
 
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
-use self::entry::{Entry, KnownSilence, Leaving, to_i64, to_u64};
+use self::entry::{Entry, KnownSilence, Leaving};
 use super::crash_suspects::UpstreamLifetime;
+use super::exchanged_reports::{changed_after, entry_to_replace, is_other_process, to_i64, to_u64};
 use super::notice_headers::MAX_SILENCE_MS;
 
+pub use self::report::{LeavingReport, NoticeReport, SilenceReport};
+
 /// Upstreams in a table; further ones replace the one that spoke longest ago. More than
 /// five times the upstreams of the largest fleet planned for.
 const MAX_ENTRIES: usize = 4_096;
 /// Time for which what has ended is remembered, so that an older report which arrives late
 /// does not bring it back.
 const ENDED_RETENTION_MS: i64 = 60_000;
-/// Extension of a time in which an upstream wants nothing that other instances are told of, in milliseconds; the answers to
-/// requests in flight together each extend it a little.
+/// Shortest extension of a time in which an upstream wants nothing that other instances are
+/// told of, in milliseconds; the answers to requests in flight together each extend it a
+/// little.
 const MIN_EXTENSION_MS: i64 = 100;
 
 /// That an upstream wants nothing for a time, as its answer said.
@@ -68,39 +71,6 @@
     None,
 }
 
-/// What an instance knows of one upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NoticeReport {
-    /// The upstream process.
-    pub lifetime: UpstreamLifetime,
-    /// Whether it leaves; `None` if it never said so.
-    pub leaving: Option<LeavingReport>,
-    /// For how long it wants nothing; `None` if it takes requests.
-    pub silence: Option<SilenceReport>,
-}
-
-/// What an instance knows of the time in which one upstream wants nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SilenceReport {
-    /// Names the answer that said so.
-    pub id: u64,
-    /// Time since that answer arrived, in milliseconds.
-    pub age_ms: u64,
-    /// What is left of the time, in milliseconds.
-    pub left_ms: u64,
-}
-
-/// What an instance knows of the leaving of one upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeavingReport {
-    /// Whether it leaves; false if it did and does not any more.
-    pub is_leaving: bool,
-    /// Time since the request was sent whose answer says so, in milliseconds.
-    pub sent_age_ms: u64,
-    /// Time since that answer arrived, in milliseconds.
-    pub received_age_ms: u64,
-}
-
 /// Notices of upstreams by the upstreams' names, as this instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamNotices {
@@ -362,18 +332,12 @@
         max_count: usize,
         now_ms: u64,
     ) -> (Vec<NoticeReport>, u64) {
-        let mut changed = Vec::new();
-        for (upstream, entry) in &self.by_upstream {
-            if entry.changed_at > position {
-                changed.push((entry.changed_at, upstream));
-            }
-        }
-        changed.sort_unstable();
-        changed.truncate(max_count);
-        let next = changed.last().map_or(position, |(at, _)| *at);
+        let entries = self.by_upstream.iter();
+        let entries = entries.map(|(upstream, entry)| (entry.changed_at, upstream));
+        let (changed, next) = changed_after(entries, position, max_count);
         let reports = changed
             .into_iter()
-            .filter_map(|(_, upstream)| self.report(upstream, now_ms));
+            .filter_map(|upstream| self.report(upstream, now_ms));
         (reports.collect(), next)
     }
 
@@ -410,12 +374,11 @@
     }
 
     fn make_room(&mut self) {
-        if self.by_upstream.len() < MAX_ENTRIES {
-            return;
-        }
         let entries = self.by_upstream.iter();
-        let oldest = entries.min_by_key(|(_, entry)| (entry.is_leaving(), entry.heard_ms()));
-        if let Some(upstream) = oldest.map(|(upstream, _)| Arc::clone(upstream)) {
+        let ranks =
+            entries.map(|(upstream, entry)| (upstream, (entry.is_leaving(), entry.heard_ms())));
+        let oldest = entry_to_replace(self.by_upstream.len(), MAX_ENTRIES, ranks);
+        if let Some(upstream) = oldest {
             self.by_upstream.remove(&upstream);
         }
     }
@@ -428,11 +391,6 @@
     }
 }
 
-/// Whether two starts, in Unix milliseconds and 0 if unknown, are of two processes.
-fn is_other_process(known_ms: u64, other_ms: u64) -> bool {
-    known_ms != 0 && other_ms != 0 && known_ms != other_ms
-}
-
 fn is_forgotten(at_ms: i64, now_ms: u64) -> bool {
     to_i64(now_ms).saturating_sub(at_ms) > ENDED_RETENTION_MS
 }
--- a/src/decision/upstream_notices/entry.rs
+++ b/src/decision/upstream_notices/entry.rs
@@ -1,5 +1,7 @@
 //! What is known of one upstream process.
 
+use crate::decision::exchanged_reports::{to_i64, to_u64};
+
 /// Time between the last answer that says that an upstream leaves and the send of the
 /// request whose answer ends that; more than reports take between instances.
 const END_MARGIN_MS: i64 = 1_000;
@@ -83,11 +85,3 @@
         }
     }
 }
-
-pub(super) fn to_i64(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
-
-pub(super) fn to_u64(time_ms: i64) -> u64 {
-    u64::try_from(time_ms).unwrap_or(0)
-}
