Say up to which rate views that differ keep the limit of a cold upstream

The module comment claimed that twice as many senders always keep the limit. Computed from the constants for 1 to 21 requests per second (factor 1.5, slack 5): 4 to 8 requests in the worst second where 6.5 to 11 are allowed up to 4/s, 16 of 12.5 at 5/s, 48 of 36.5 at 21/s. Only the comment changes.

--- a/src/decision/cold_limiter.rs
+++ b/src/decision/cold_limiter.rs
@@ -2,9 +2,11 @@
 //!
 //! The limit holds for the whole fleet without coordination: rendezvous hashing
 //! over the known instances picks a few senders, and each of them sends at most
-//! once per interval. Instances whose membership views differ pick more senders,
-//! so the limit is divided such that twice as many senders still keep it. An instance
-//! whose own view lacks it is not registered yet: no other can know it, so it waits.
+//! once per interval. Instances whose membership views differ pick more senders, so
+//! their number is chosen such that one request from each of twice as many fits into one
+//! second. That keeps the limit up to about 4 requests per second; above it, twice as many
+//! senders would exceed it. An instance whose own view lacks it is not registered yet: no
+//! other can know it, so it waits.
 
 use std::collections::HashMap;
 use std::sync::Arc;
