Let tests of the choice of an upstream wait for all readings

Tests of the gateway failed now and then beside other load: a request went to another upstream than the one that the loads make the best choice (a_refused_request_is_sent_elsewhere_even_if_not_idempotent, requests_go_to_the_upstream_expected_to_answer_first, a_non_idempotent_request_is_not_retried_once_it_may_have_run, an_idempotent_request_is_retried_on_another_upstream).

Cause: a request waits 15 ms for a first reading and 10 ms for further ones. On a busy machine the probe of the best upstream, which opens a connection, may take longer; the gateway then rightly chooses among those that answered. The tests assumed that all had.

The waits become a value of the gateway, ProbeWaits; its default is the former constants, which the product keeps. Tests whose subject is the choice wait up to 10 s for each reading. Those of the waits themselves, and of the time of a response (outcomes, a_silent_upstream_..., a_request_is_refused_if_...), keep the product's waits. No check has changed.

--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -20,19 +20,36 @@
 };
 use crate::decision::upstream_contact::SILENCE_MS;
 
-/// Wait for further readings after the first one.
-const FURTHER_READINGS_WAIT: Duration = Duration::from_millis(10);
-/// Wait for a first reading before the next round of probes; ten times a round
-/// trip within a region.
-const ROUND_WAIT: Duration = Duration::from_millis(15);
-/// Wait for a first reading in the last round.
-const LAST_ROUND_WAIT: Duration = Duration::from_millis(300);
-/// The same if no upstream at all has answered since the first probe, and another
-/// instance may take the request.
-const SILENT_ROUND_WAIT: Duration = Duration::from_millis(SILENCE_MS);
 /// Cost factor of a cold upstream, which works at half its usual speed.
 const COLD_COST_FACTOR: f64 = 2.0;
 
+/// Times for which a request waits for the readings of its probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeWaits {
+    /// Wait for further readings after the first one.
+    pub further_readings: Duration,
+    /// Wait for a first reading before the next round of probes.
+    pub round: Duration,
+    /// Wait for a first reading in the last round.
+    pub last_round: Duration,
+    /// The same if no upstream at all has answered since the first probe, and another
+    /// instance may take the request.
+    pub silent_round: Duration,
+}
+
+impl Default for ProbeWaits {
+    /// The waits of the product; that of a round is ten times a round trip within a
+    /// region.
+    fn default() -> Self {
+        Self {
+            further_readings: Duration::from_millis(10),
+            round: Duration::from_millis(15),
+            last_round: Duration::from_millis(300),
+            silent_round: Duration::from_millis(SILENCE_MS),
+        }
+    }
+}
+
 /// An upstream that answered a probe.
 #[derive(Debug)]
 pub struct ProbedUpstream {
@@ -119,7 +136,8 @@
     let Some(health_path) = health_path else {
         return (Vec::new(), 0);
     };
-    let mut pending = PendingProbes::new(drawn.len());
+    let waits = gateway.probe_waits;
+    let mut pending = PendingProbes::new(drawn.len(), waits.further_readings);
     let mut remaining = &drawn[..];
     for (round, wanted) in PROBES_PER_ROUND.into_iter().enumerate() {
         let wanted = wanted.min(remaining.len());
@@ -138,14 +156,14 @@
         let is_last = remaining.is_empty() || round + 1 == PROBES_PER_ROUND.len();
         let is_silent = || !gateway.contact.decision().has_answered_since(now_ms);
         let wait = match is_last {
-            false => ROUND_WAIT,
-            true if may_hand_over && is_silent() => SILENT_ROUND_WAIT,
-            true => LAST_ROUND_WAIT,
+            false => waits.round,
+            true if may_hand_over && is_silent() => waits.silent_round,
+            true => waits.last_round,
         };
         pending.collect(wait).await;
-        if wait == SILENT_ROUND_WAIT && !is_silent() {
+        if wait == waits.silent_round && !is_silent() {
             pending
-                .collect(LAST_ROUND_WAIT.saturating_sub(SILENT_ROUND_WAIT))
+                .collect(waits.last_round.saturating_sub(waits.silent_round))
                 .await;
         }
     }
@@ -158,16 +176,18 @@
     receiver: mpsc::Receiver<Option<ProbedUpstream>>,
     outstanding: usize,
     answered: Vec<ProbedUpstream>,
+    further_readings_wait: Duration,
 }
 
 impl PendingProbes {
-    fn new(capacity: usize) -> Self {
+    fn new(capacity: usize, further_readings_wait: Duration) -> Self {
         let (sender, receiver) = mpsc::channel(capacity.max(1));
         Self {
             sender,
             receiver,
             outstanding: 0,
             answered: Vec::with_capacity(capacity),
+            further_readings_wait,
         }
     }
 
@@ -188,7 +208,7 @@
     async fn collect(&mut self, wait: Duration) {
         let mut deadline = Instant::now() + wait;
         if !self.answered.is_empty() {
-            deadline = deadline.min(Instant::now() + FURTHER_READINGS_WAIT);
+            deadline = deadline.min(Instant::now() + self.further_readings_wait);
         }
         while self.outstanding > 0 {
             let Ok(Some(result)) = timeout_at(deadline, self.receiver.recv()).await else {
@@ -197,7 +217,7 @@
             self.outstanding -= 1;
             if let Some(probed) = result {
                 self.answered.push(probed);
-                deadline = deadline.min(Instant::now() + FURTHER_READINGS_WAIT);
+                deadline = deadline.min(Instant::now() + self.further_readings_wait);
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use super::metrics::Metrics;
 use super::offers::OfferState;
 use super::peers::Peers;
+use super::probing::ProbeWaits;
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
@@ -98,6 +99,8 @@
     pub notices: NoticeState,
     /// Whether any upstream answers this instance.
     pub contact: ContactState,
+    /// Times for which requests wait for the readings of their probes.
+    pub probe_waits: ProbeWaits,
     /// Offers of other instances to take requests.
     pub offers: OfferState,
     /// Requests that this instance runs for others.
@@ -128,6 +131,13 @@
     /// Creates the state of a process that has read nothing from the store yet.
     #[must_use]
     pub fn new(platform: P, settings: Settings) -> Arc<Self> {
+        Self::with_probe_waits(platform, settings, ProbeWaits::default())
+    }
+
+    /// Like [`Gateway::new`], with other waits for the readings of probes than the
+    /// product's.
+    #[must_use]
+    pub fn with_probe_waits(platform: P, settings: Settings, probe_waits: ProbeWaits) -> Arc<Self> {
         let memory_bytes = settings.memory_limit_mb.saturating_mul(1 << 20);
         let body_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX) / BODY_MEMORY_DIVISOR;
         Arc::new(Self {
@@ -147,6 +157,7 @@
             limits: LimitState::default(),
             notices: NoticeState::default(),
             contact: ContactState::default(),
+            probe_waits,
             offers: OfferState::default(),
             taken: TakenState::default(),
             started_at: Instant::now(),
--- a/tests/gateway/call_forwarding.rs
+++ b/tests/gateway/call_forwarding.rs
@@ -10,12 +10,15 @@
 use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::{Outcome, Reason};
+use chicorywing::gateway::probing::ProbeWaits;
 use chicorywing::gateway::state::Gateway;
 use googletest::prelude::*;
 use http::{HeaderMap, HeaderValue, Method};
 use tokio::time::{Instant, timeout};
 
-use super::fake::{FakePlatform, FakeStore, gateway, manifest, report, route, within};
+use super::fake::{
+    ALL_READINGS, FakePlatform, FakeStore, gateway_with_waits, manifest, report, route, within,
+};
 use super::upstream::{Behaviour, FakeUpstream};
 
 const SERVE_AT_ONCE: Behaviour = Behaviour::Serve(Duration::ZERO);
@@ -28,9 +31,19 @@
     }
 }
 
-/// Creates a gateway that knows these upstreams and this route.
+/// Creates a gateway that knows these upstreams and this route, and waits for all readings
+/// of its probes.
 pub fn gateway_to(upstreams: &[&FakeUpstream], route: &Route) -> Arc<Gateway<FakePlatform>> {
-    let gateway = gateway(&FakeStore::new());
+    gateway_with_waits_to(upstreams, route, ALL_READINGS)
+}
+
+/// Like [`gateway_to`], with other waits, such as the product's.
+pub fn gateway_with_waits_to(
+    upstreams: &[&FakeUpstream],
+    route: &Route,
+    probe_waits: ProbeWaits,
+) -> Arc<Gateway<FakePlatform>> {
+    let gateway = gateway_with_waits(&FakeStore::new(), probe_waits);
     {
         let mut view = gateway.view();
         view.manifest = Some(Arc::new(manifest(1, std::slice::from_ref(route))));
@@ -109,6 +122,24 @@
     expect_that!(fast.runs().len(), eq(10));
 }
 
+// Guards against choosing by the readings that happen to come first: on a busy machine that
+// of the best upstream may be late.
+#[gtest]
+#[tokio::test]
+async fn the_best_upstream_gets_the_request_though_its_reading_comes_late() {
+    let busy = FakeUpstream::start("busy", SERVE_AT_ONCE).await;
+    let late = FakeUpstream::start("late", SERVE_AT_ONCE).await;
+    busy.set_load("1,0,2,100");
+    late.set_probe_delay(2 * ProbeWaits::default().round);
+    let gateway = gateway_to(&[&busy, &late], &route());
+
+    for _ in 0..10 {
+        forward(&gateway, &call(&route())).await;
+    }
+
+    expect_that!(late.runs().len(), eq(10));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_refused_request_is_sent_elsewhere_even_if_not_idempotent() {
@@ -291,7 +322,8 @@
 async fn a_request_is_refused_if_the_upstream_queue_is_full() {
     let full = FakeUpstream::start("full", SERVE_AT_ONCE).await;
     full.set_load("2,4,2,100");
-    let gateway = gateway_to(&[&full], &non_idempotent_route());
+    let waits = ProbeWaits::default();
+    let gateway = gateway_with_waits_to(&[&full], &non_idempotent_route(), waits);
     let began = Instant::now();
 
     let outcome = forward(&gateway, &call(&non_idempotent_route())).await;
@@ -392,7 +424,9 @@
     let good = FakeUpstream::start("good", SERVE_AT_ONCE).await;
 
     for _ in 0..8 {
-        let gateway = gateway_to(&[&silent, &good], &non_idempotent_route());
+        let upstreams = [&silent, &good];
+        let waits = ProbeWaits::default();
+        let gateway = gateway_with_waits_to(&upstreams, &non_idempotent_route(), waits);
         let began = Instant::now();
         let outcome = forward(&gateway, &call(&non_idempotent_route())).await;
         expect_that!(body(&outcome), eq(b"good"));
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -11,6 +11,7 @@
 use chicorywing::decision::manifest::{CallerLimits, Manifest, Route, ServiceSpec, Target};
 use chicorywing::decision::retry_budget::RetryLimit;
 use chicorywing::gateway::calls::{BodyMemory, BodyReservation, Call};
+use chicorywing::gateway::probing::ProbeWaits;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::{
@@ -464,10 +465,28 @@
 
 /// A gateway over `store`; the test spawns its followers.
 pub fn gateway(store: &Arc<FakeStore>) -> Arc<Gateway<FakePlatform>> {
+    gateway_with_waits(store, ProbeWaits::default())
+}
+
+/// Like [`gateway`], with other waits for the readings of probes.
+pub fn gateway_with_waits(
+    store: &Arc<FakeStore>,
+    probe_waits: ProbeWaits,
+) -> Arc<Gateway<FakePlatform>> {
     let peer = SocketAddr::from(([127, 0, 0, 1], 1));
-    Gateway::new(FakePlatform::new(store), settings("gate-1", peer, &[]))
+    let settings = settings("gate-1", peer, &[]);
+    Gateway::with_probe_waits(FakePlatform::new(store), settings, probe_waits)
 }
 
+/// Waits in which each upstream that is probed answers, also on a busy machine: which one
+/// gets a request then follows from the readings alone.
+pub const ALL_READINGS: ProbeWaits = ProbeWaits {
+    further_readings: Duration::from_secs(10),
+    round: Duration::from_secs(10),
+    last_round: Duration::from_secs(10),
+    silent_round: Duration::from_secs(10),
+};
+
 /// An address that no other test uses, since its host belongs to this call alone.
 pub fn own_address() -> SocketAddr {
     static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
--- a/tests/gateway/outcomes.rs
+++ b/tests/gateway/outcomes.rs
@@ -11,12 +11,13 @@
 use chicorywing::decision::manifest::Route;
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::Outcome;
+use chicorywing::gateway::probing::ProbeWaits;
 use futures::{StreamExt, stream};
 use http::StatusCode;
 use strum::{EnumIter, IntoEnumIterator};
 use tokio::time::{Instant, sleep, timeout};
 
-use super::call_forwarding::{call, gateway_to};
+use super::call_forwarding::{call, gateway_with_waits_to};
 use super::fake::{report, route};
 use super::upstream::{Behaviour, FakeUpstream};
 
@@ -103,7 +104,7 @@
         timeout_ms: TIMEOUT_MS,
         ..route()
     };
-    let gateway = gateway_to(&[&first, &second], &route);
+    let gateway = gateway_with_waits_to(&[&first, &second], &route, ProbeWaits::default());
     let began = Instant::now();
     let request = call(&route);
     let forwarding = forward(&gateway, &request);
