Count no answer from behind the known end as a confirmation of a stream

A 404's log line and the gauge operator_records_age_ms showed routes as confirmed a moment ago although the store had answered from a state older than the known one, so the figures that tell silence from news were wrong in that case. Cause: every answer confirmed its stream, whatever its era and end; the end that a read names was not looked at.

Now an answer whose end lies before the known one, and the first answer of another era, confirm nothing. The follower then asks by short polls until the store has caught up, instead of waiting for a long poll on an offset that the store does not have; comparing a new era never moves beyond its end.

What still counts: ages told by an instance that is itself behind this one, since its response names no position if there is nothing to tell.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -155,7 +155,6 @@
         gateway.metrics.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
-                gateway.stream_ages.confirm(stream, gateway.now_ms());
                 // A long poll of a slow store may miss a record that is written while
                 // the poll arrives.
                 let is_short_poll = needs_short_poll || !is_loaded;
@@ -175,6 +174,9 @@
                     is_loaded = follow_new_era(&gateway, stream, records, is_loaded).await;
                     continue;
                 }
+                if !confirm(&gateway, stream, &records) {
+                    needs_short_poll = true;
+                }
                 let extent = if is_loaded {
                     Extent::Following
                 } else {
@@ -208,6 +210,19 @@
     }
 }
 
+/// Records that the store has confirmed what is known of a stream; returns false if it
+/// reads behind that, so that its answer may lack newer records.
+pub fn confirm<P: Platform>(gateway: &Gateway<P>, stream: Stream, answer: &Records) -> bool {
+    let known_end = gateway.view().next_offset(stream);
+    if answer.next_offset < known_end {
+        let end = answer.next_offset;
+        tracing::info!(%stream, end, known_end, "the store reads behind; its answer confirms nothing");
+        return false;
+    }
+    gateway.stream_ages.confirm(stream, gateway.now_ms());
+    true
+}
+
 /// Compares a store that has returned from a copy with what was read before; returns
 /// whether the stream can be followed from there.
 ///
@@ -273,6 +288,9 @@
                 "the store returned from another copy meanwhile".to_owned(),
             ));
         }
+        if page.next_offset < all.next_offset {
+            return Err(StoreError::Compacted);
+        }
         if page.next_offset == all.next_offset {
             return Ok(all);
         }
--- a/src/gateway/long_poll_checks.rs
+++ b/src/gateway/long_poll_checks.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use super::follower::{PROMPT_RESPONSE_TIME, read_stream};
+use super::follower::{PROMPT_RESPONSE_TIME, confirm, read_stream};
 use super::state::Gateway;
 use super::store::{Platform, Stream};
 use super::view::Extent;
@@ -73,13 +73,11 @@
     match read_stream(gateway, Stream::Operator, true, Duration::ZERO).await {
         Ok(records) => {
             gateway.metrics.on_store_call(true);
-            gateway
-                .stream_ages
-                .confirm(Stream::Operator, gateway.now_ms());
             if began.elapsed() > PROMPT_RESPONSE_TIME {
                 gateway.store_recheck.notify_waiters();
             }
-            if records.era == gateway.view().copy(Stream::Operator).era {
+            let known_era = gateway.view().copy(Stream::Operator).era;
+            if records.era == known_era && confirm(gateway, Stream::Operator, &records) {
                 if !records.records.is_empty() {
                     gateway.operator_poll_missed_records.notify_waiters();
                 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -264,13 +264,16 @@
 }
 
 /// Decodes the response to a read: two offsets, then length-prefixed records.
+///
+/// The next read starts at the end of the stream if that lies before `from`: the store
+/// then reads behind, and the answer says nothing of what follows the known records.
 fn decode_read(mut body: Bytes, from: u64, era: u64) -> Result<Records, StoreError> {
     if body.len() < READ_HEADER_BYTES {
         return Err(StoreError::InvalidResponse(
             "it is shorter than its header".to_owned(),
         ));
     }
-    let _end = body.get_u64();
+    let end = body.get_u64();
     let _first = body.get_u64();
     let mut next = from;
     let mut records = Vec::new();
@@ -285,10 +288,11 @@
         records.extend(record);
         next += 1;
     }
+    let is_behind = next == from && end < from;
     Ok(Records {
         era,
         records,
-        next_offset: next,
+        next_offset: if is_behind { end } else { next },
     })
 }
 
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -51,6 +51,9 @@
 struct Log {
     records: HashMap<Stream, Vec<KeyedRecord>>,
     first: HashMap<Stream, u64>,
+    /// Number of newest records that reads do not see, as those of a store that reads
+    /// behind.
+    hidden: HashMap<Stream, usize>,
     /// Number of returns from a copy.
     era: u64,
     calls: usize,
@@ -116,6 +119,11 @@
         log.first.insert(stream, end);
     }
 
+    /// Makes reads of a stream lack its newest records, as if they came from behind.
+    pub fn hide_newest(&self, stream: Stream, count: usize) {
+        self.log().hidden.insert(stream, count);
+    }
+
     /// Returns from a copy that lacks the newest records of a stream.
     pub fn return_from_copy(&self, stream: Stream, lost: usize) {
         let mut log = self.log();
@@ -154,13 +162,15 @@
 
     fn records_from(&self, stream: Stream, from: u64) -> Records {
         let log = self.log();
-        let all = log.records.get(&stream).cloned().unwrap_or_default();
+        let mut all = log.records.get(&stream).cloned().unwrap_or_default();
+        let hidden = log.hidden.get(&stream).copied().unwrap_or(0);
+        all.truncate(all.len() - hidden);
         let next = u64::try_from(all.len()).unwrap();
         let records = all.into_iter().filter(|record| record.offset >= from);
         Records {
             era: log.era + 1,
             records: records.collect(),
-            next_offset: next.max(from),
+            next_offset: next,
         }
     }
 
@@ -307,7 +317,7 @@
                         return Ok(found);
                     }
                     if woken.is_err() {
-                        return Ok(Records { era: found.era, records: Vec::new(), next_offset: from });
+                        return Ok(Records { records: Vec::new(), ..found });
                     }
                 }
                 () = until_hanging(&mut modes, stream) => {
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -394,6 +394,32 @@
     expect_that!(age_ms(), le(silent_ms));
 }
 
+// Guards against an answer of a store that reads behind being taken for a confirmation of
+// what is known, in the log line of a 404 and in the gauge.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_age_of_a_stream_grows_while_the_store_reads_behind() {
+    let store = FakeStore::new();
+    let gateway = loaded_gateway(&store).await;
+    let age_ms = || {
+        gateway
+            .stream_ages
+            .age_ms(Stream::Operator, gateway.now_ms())
+    };
+    store.write(Stream::Operator, "config", Some("2"));
+    within(CONFIG_BOUND, "version 2", || version(&gateway) == 2).await;
+
+    store.hide_newest(Stream::Operator, 1);
+    sleep(Duration::from_secs(6)).await;
+    let behind_ms = age_ms();
+    store.hide_newest(Stream::Operator, 0);
+    sleep(RECOVERY_TIME).await;
+
+    expect_that!(behind_ms, ge(5_000));
+    expect_that!(age_ms(), le(3_000));
+    expect_that!(version(&gateway), eq(2));
+}
+
 /// Instances talk over loopback, so this test runs on the real clock.
 #[gtest]
 #[tokio::test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -249,6 +249,17 @@
     );
 }
 
+// Guards against an answer of a store that reads behind looking like one without news.
+#[gtest]
+#[tokio::test]
+async fn a_read_from_behind_names_the_end_that_it_has() {
+    let (store, _) = fake_store(vec![http_response("200 OK", &read_body(&[]))]).await;
+
+    let read = store.read(Stream::Upstreams, 12, Duration::ZERO).await;
+
+    expect_that!(read.unwrap().next_offset, eq(9));
+}
+
 #[gtest]
 #[tokio::test]
 async fn newest_records_are_read_page_by_page() {
