Ask another instance for records during the pause between reads, not before it

Right after an outage of the store an instance could stay without news for 3.2 s, so it answered 404 on new routes and sent to upstreams that drain for longer than it may. Cause: a failed read waited for the instance that was asked meanwhile (up to 0.8 s if that one is silent) and then for the delay of up to 1.6 s, after a read of up to 0.8 s.

Both waits run side by side now: at most 0.8 s + 1.6 s. A delay is never shorter than before, so an unavailable store gets no more calls than it may.

Ruled out: not asking others, as an instance that the store refuses has no other source.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -199,8 +199,9 @@
                 if contact.on_failure(stream, &error) {
                     gateway.store_recheck.notify_waiters();
                 }
-                relay::fetch_from_any_peer(&gateway).await;
-                sleep(retry_delay(contact.failures)).await;
+                // The other instance may be silent, too.
+                let delay = sleep(retry_delay(contact.failures));
+                tokio::join!(relay::fetch_from_any_peer(&gateway), delay);
             }
         }
     }
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -20,6 +20,9 @@
 const CONFIG_BOUND: Duration = Duration::from_secs(2);
 /// Time after an outage from which that bound holds again.
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Part of the bounds that is left for telling the instances that follow a reader: a
+/// quarter of that on a new manifest.
+const FOLLOWERS_TIME: Duration = Duration::from_millis(500);
 
 fn follow_all(gateway: &Arc<Gateway<FakePlatform>>) {
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
@@ -420,6 +423,38 @@
     expect_that!(version(&gateway), eq(2));
 }
 
+// Guards against an instance without news for longer than the time of recovery, since it
+// waits for a silent instance before it tries the store again.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_does_not_delay_the_reads_after_an_outage() {
+    // It accepts connections and answers nothing.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let seeds = [silent.local_addr().unwrap()];
+    let own = SocketAddr::from(([127, 0, 0, 1], 1));
+    for phase_ms in (0..3_200).step_by(50) {
+        let store = FakeStore::new();
+        store.write(Stream::Operator, "config", Some("1"));
+        store.write(Stream::Upstreams, "up-1", Some("ready"));
+        let gateway = Gateway::new(FakePlatform::new(&store), settings("gate-1", own, &seeds));
+        follow_all(&gateway);
+        within(CONFIG_BOUND, "version 1", || version(&gateway) == 1).await;
+        store.set_mode(Mode::Hanging);
+        sleep(Duration::from_secs(8) + Duration::from_millis(phase_ms)).await;
+        store.write_without_waking(Stream::Operator, "config", Some("2"));
+        store.set_mode(Mode::Healthy);
+        let began = Instant::now();
+
+        within(RECOVERY_TIME + CONFIG_BOUND, "version 2", || {
+            version(&gateway) == 2
+        })
+        .await;
+
+        let took = began.elapsed() + FOLLOWERS_TIME;
+        expect_that!(took, le(RECOVERY_TIME), "phase {phase_ms} ms");
+    }
+}
+
 /// Instances talk over loopback, so this test runs on the real clock.
 #[gtest]
 #[tokio::test]
