--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -25,6 +25,10 @@
 /// Timeout for a response of the store, in addition to the wait of a long poll.
 /// A response usually takes 4 ms, and 60 times as long while the store is slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout for all pages of a snapshot, of 500 records each. A page usually takes 4 ms,
+/// and 60 times as long while the store is slow; this leaves a quarter of the platform's
+/// bound of 2 s on a new manifest for another source.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Header with the number of times that the store has returned from an older copy.
 const ERA_HEADER: &str = "store-era";
 /// Size of the header of a read's response: the end offset and the first offset
@@ -115,40 +119,8 @@
         }
     }
 
-    fn lock_idle(&self) -> MutexGuard<'_, Vec<Connection>> {
-        self.idle_connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn request(&self, method: Method, target: String, body: Bytes) -> HttpRequest {
-        let mut headers = HeaderMap::with_capacity(2);
-        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
-            headers.insert(HOST, host);
-        }
-        if !body.is_empty() {
-            let raw = HeaderValue::from_static("application/octet-stream");
-            headers.insert(CONTENT_TYPE, raw);
-        }
-        HttpRequest {
-            method,
-            target,
-            headers,
-            body,
-        }
-    }
-}
-
-impl Platform for PlatformStore {
-    fn headers(&self) -> &HeaderNames {
-        &self.names
-    }
-
-    fn ready_path(&self) -> &'static str {
-        "/api/readyz"
-    }
-
-    async fn newest(&self, stream: Stream) -> Result<Records, StoreError> {
+    /// Reads the newest record of each key, page by page.
+    async fn read_snapshot(&self, stream: Stream) -> Result<Records, StoreError> {
         let topic = topic(stream);
         let mut newest = Records::default();
         let mut after: Option<Arc<str>> = None;
@@ -185,6 +157,45 @@
         }
     }
 
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle_connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn request(&self, method: Method, target: String, body: Bytes) -> HttpRequest {
+        let mut headers = HeaderMap::with_capacity(2);
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        if !body.is_empty() {
+            let raw = HeaderValue::from_static("application/octet-stream");
+            headers.insert(CONTENT_TYPE, raw);
+        }
+        HttpRequest {
+            method,
+            target,
+            headers,
+            body,
+        }
+    }
+}
+
+impl Platform for PlatformStore {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/api/readyz"
+    }
+
+    async fn newest(&self, stream: Stream) -> Result<Records, StoreError> {
+        timeout(SNAPSHOT_TIMEOUT, self.read_snapshot(stream))
+            .await
+            .map_err(|_| StoreError::Unreachable("no snapshot within the timeout".to_owned()))?
+    }
+
     async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Records, StoreError> {
         let target = format!(
             "/api/log-read?topic={}&part=0&from={from}&wait-ms={}",
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,10 @@
 use proptest::prelude::{any, prop, proptest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+/// The platform's bound on applying a new manifest.
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 const MANIFEST: &str = r#"{
   "version": 7,
@@ -284,6 +288,36 @@
     expect_that!(call, contains_substring("&after=a%20b "));
 }
 
+// Guards against a reader that has no news for as long as the pages of a snapshot come
+// slowly one after the other.
+#[gtest]
+#[tokio::test]
+async fn a_snapshot_whose_pages_come_slowly_ends_within_the_platforms_bound() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let store = PlatformStore::new(listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut bytes = vec![0; 65_536];
+        for page in 0..16 {
+            let _ = stream.read(&mut bytes).await.unwrap();
+            sleep(Duration::from_millis(600)).await;
+            let body = format!(
+                r#"{{"items":[{{"key":"k{page}","value":"MQ==","offset":{page}}}],"more":true,"end":99}}"#
+            );
+            let response = http_response("200 OK", body.as_bytes());
+            stream.write_all(&response).await.unwrap();
+        }
+    });
+
+    let read = timeout(CONFIG_BOUND, store.newest(Stream::Operator)).await;
+
+    expect_that!(
+        read,
+        ok(err(matches_pattern!(StoreError::Unreachable(_)))),
+        "the caller can ask another instance before the bound"
+    );
+}
+
 #[gtest]
 #[tokio::test]
 async fn store_errors_are_distinguished() {
