Do not ask an instance in an ended era for records at offsets of the new one

After the store had returned from a copy, two readers in two data centres could call each other as fast as they could, for as long as only one of them had noticed the return: up to 3 s per return, the time of a long poll. On a machine of 0.2 cores that takes the time of callers and of readiness checks.

Cause: a position was sent as the era that another instance has told, with an offset of the era that the store is in. Offsets go back with an era, so an instance that was still in the ended era always seemed to have more; the records were ignored, and asked for again.

The position in a told era that has ended is now the end of all offsets, so the poll is held until there is news; the state of a later era is still told as a whole.

--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -284,14 +284,22 @@
         .map_err(RelayError::Call)
 }
 
+/// How far this instance has read each stream, in the era that other instances have told.
 fn stream_positions<P: Platform>(gateway: &Gateway<P>) -> Vec<StreamPosition> {
     let view = gateway.view();
     let mut positions = Vec::with_capacity(STREAMS.len());
     for stream in STREAMS {
+        let copy = view.copy(stream);
+        // Offsets of the current era mean nothing in the told one, which has ended.
+        let has_ended = copy.told_era < copy.era;
         positions.push(StreamPosition {
             stream,
-            told_era: view.copy(stream).told_era,
-            next_offset: view.next_offset(stream),
+            told_era: copy.told_era,
+            next_offset: if has_ended {
+                u64::MAX
+            } else {
+                copy.next_offset
+            },
         });
     }
     positions
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -187,7 +187,8 @@
         }
     }
 
-    fn newest(&self, stream: Stream) -> Records {
+    /// The newest record of each key, as the store answers.
+    pub fn newest(&self, stream: Stream) -> Records {
         let all = self.records_from(stream, 0);
         let mut newest: HashMap<Arc<str>, KeyedRecord> = HashMap::new();
         for record in all.records {
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -6,12 +6,13 @@
 
 use chicorywing::gateway::follower;
 use chicorywing::gateway::long_poll_checks;
+use chicorywing::gateway::peer_client::PeerClient;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::{KeyedRecord, Records, Stream};
 use chicorywing::gateway::view::Extent;
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::fake::{
     FakePlatform, FakeStore, Mode, TestInstance, gateway, own_address, settings, within,
@@ -324,6 +325,45 @@
     within(BOUND, "up-1 drains", || !is_usable(&gateway, "up-1")).await;
 }
 
+// Guards against two readers that call each other without a pause for as long as only one
+// of them has noticed that the store has returned from a copy.
+#[gtest]
+#[tokio::test]
+async fn an_instance_in_an_era_that_has_ended_is_not_polled_without_a_pause() {
+    let older = FakeStore::new();
+    for id in ["up-1", "up-2", "up-3"] {
+        older.write(Stream::Upstreams, id, Some("ready"));
+    }
+    let lagging = TestInstance::start(&older, settings("gate-1", own_address(), &[])).await;
+    within(SETTLE_TIMEOUT, "it reads the store", || {
+        lagging.gateway.is_active_reader()
+    })
+    .await;
+    let address = lagging.gateway.settings().peer_address;
+    let store = FakeStore::new();
+    store.write(Stream::Upstreams, "up-1", Some("ready"));
+    let gateway = gateway(&store);
+    let mut client = PeerClient::connect(address).await.unwrap();
+    // It is told the whole state of the era before, and then follows the store.
+    client.fetch(&gateway, Duration::ZERO).await.unwrap();
+    store.return_from_copy(Stream::Upstreams, 0);
+    let answer = store.newest(Stream::Upstreams);
+    gateway.apply_records(Stream::Upstreams, answer, Extent::Newest, "the test");
+
+    let mut polls = 0;
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(1) {
+        client
+            .fetch(&gateway, Duration::from_millis(500))
+            .await
+            .unwrap();
+        polls += 1;
+    }
+
+    // Each is held for its wait, unless records or notices have changed.
+    expect_that!(polls, le(4));
+}
+
 // Guards against an instance that has started taking an upstream that had left from
 // another one that has not heard of it yet.
 #[gtest]
