--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -155,7 +155,6 @@
         gateway.metrics.on_store_call(read.is_ok());
         match read {
             Ok(records) => {
-                gateway.stream_ages.confirm(stream, gateway.now_ms());
                 // A long poll of a slow store may miss a record that is written while
                 // the poll arrives.
                 let is_short_poll = needs_short_poll || !is_loaded;
@@ -167,14 +166,13 @@
                 let has_records = !records.records.is_empty();
                 is_after_records = has_records;
                 let known_era = gateway.view().copy(stream).era;
-                if records.era < known_era {
-                    tracing::info!(%stream, era = records.era, known_era, "late answer of an era of the store that has ended; ignored");
-                    continue;
-                }
                 if known_era != 0 && records.era > known_era {
                     is_loaded = follow_new_era(&gateway, stream, records, is_loaded).await;
                     continue;
                 }
+                if !confirm(&gateway, stream, &records) {
+                    needs_short_poll = true;
+                }
                 let extent = if is_loaded {
                     Extent::Following
                 } else {
@@ -201,13 +199,27 @@
                 if contact.on_failure(stream, &error) {
                     gateway.store_recheck.notify_waiters();
                 }
-                relay::fetch_from_any_peer(&gateway).await;
-                sleep(retry_delay(contact.failures)).await;
+                // The other instance may be silent, too.
+                let delay = sleep(retry_delay(contact.failures));
+                tokio::join!(relay::fetch_from_any_peer(&gateway), delay);
             }
         }
     }
 }
 
+/// Records that the store has confirmed what is known of a stream; returns false if it
+/// reads behind that, so that its answer may lack newer records.
+pub fn confirm<P: Platform>(gateway: &Gateway<P>, stream: Stream, answer: &Records) -> bool {
+    let known_end = gateway.view().next_offset(stream);
+    if answer.next_offset < known_end {
+        let end = answer.next_offset;
+        tracing::info!(%stream, end, known_end, "the store reads behind; its answer confirms nothing");
+        return false;
+    }
+    gateway.stream_ages.confirm(stream, gateway.now_ms());
+    true
+}
+
 /// Compares a store that has returned from a copy with what was read before; returns
 /// whether the stream can be followed from there.
 ///
@@ -273,6 +285,9 @@
                 "the store returned from another copy meanwhile".to_owned(),
             ));
         }
+        if page.next_offset < all.next_offset {
+            return Err(StoreError::Compacted);
+        }
         if page.next_offset == all.next_offset {
             return Ok(all);
         }
@@ -296,18 +311,28 @@
 /// Reads a stream: its newest records, or those that follow the known ones.
 ///
 /// # Errors
-/// Returns an error if the call to the store fails.
+/// Returns an error if the call to the store fails, or its answer is of an era that has
+/// ended, as that may lack what has been written since.
 pub async fn read_stream<P: Platform>(
     gateway: &Gateway<P>,
     stream: Stream,
     is_loaded: bool,
     wait: Duration,
 ) -> Result<Records, StoreError> {
-    if !is_loaded {
-        return gateway.platform.newest(stream).await;
+    let records = if is_loaded {
+        let from = gateway.view().next_offset(stream);
+        gateway.platform.read(stream, from, wait).await?
+    } else {
+        gateway.platform.newest(stream).await?
+    };
+    let era = records.era;
+    let known_era = gateway.view().copy(stream).era;
+    if era < known_era {
+        return Err(StoreError::InvalidResponse(format!(
+            "it is of era {era}, which has ended; era {known_era} is known"
+        )));
     }
-    let from = gateway.view().next_offset(stream);
-    gateway.platform.read(stream, from, wait).await
+    Ok(records)
 }
 
 /// Registers the address of this instance in the store, unless its entry is
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -1,6 +1,6 @@
 //! A fake platform whose store fails on demand, and gateways that use it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -52,6 +52,11 @@
 struct Log {
     records: HashMap<Stream, Vec<KeyedRecord>>,
     first: HashMap<Stream, u64>,
+    /// Number of newest records that reads do not see, as those of a store that reads
+    /// behind.
+    hidden: HashMap<Stream, usize>,
+    /// Streams whose answers come from the era before, as late ones do.
+    in_ended_era: HashSet<Stream>,
     /// Number of returns from a copy.
     era: u64,
     calls: usize,
@@ -117,6 +122,21 @@
         log.first.insert(stream, end);
     }
 
+    /// Makes reads of a stream lack its newest records, as if they came from behind.
+    pub fn hide_newest(&self, stream: Stream, count: usize) {
+        self.log().hidden.insert(stream, count);
+    }
+
+    /// Sets whether answers for a stream come from the era before the current one.
+    pub fn set_in_ended_era(&self, stream: Stream, is_in_ended_era: bool) {
+        let mut log = self.log();
+        if is_in_ended_era {
+            log.in_ended_era.insert(stream);
+        } else {
+            log.in_ended_era.remove(&stream);
+        }
+    }
+
     /// Returns from a copy that lacks the newest records of a stream.
     pub fn return_from_copy(&self, stream: Stream, lost: usize) {
         let mut log = self.log();
@@ -155,17 +175,21 @@
 
     fn records_from(&self, stream: Stream, from: u64) -> Records {
         let log = self.log();
-        let all = log.records.get(&stream).cloned().unwrap_or_default();
+        let mut all = log.records.get(&stream).cloned().unwrap_or_default();
+        let hidden = log.hidden.get(&stream).copied().unwrap_or(0);
+        all.truncate(all.len() - hidden);
         let next = u64::try_from(all.len()).unwrap();
         let records = all.into_iter().filter(|record| record.offset >= from);
+        let era = log.era + u64::from(!log.in_ended_era.contains(&stream));
         Records {
-            era: log.era + 1,
+            era,
             records: records.collect(),
-            next_offset: next.max(from),
+            next_offset: next,
         }
     }
 
-    fn newest(&self, stream: Stream) -> Records {
+    /// The newest record of each key, as the store answers.
+    pub fn newest(&self, stream: Stream) -> Records {
         let all = self.records_from(stream, 0);
         let mut newest: HashMap<Arc<str>, KeyedRecord> = HashMap::new();
         for record in all.records {
@@ -308,7 +332,7 @@
                         return Ok(found);
                     }
                     if woken.is_err() {
-                        return Ok(Records { era: found.era, records: Vec::new(), next_offset: from });
+                        return Ok(Records { records: Vec::new(), ..found });
                     }
                 }
                 () = until_hanging(&mut modes, stream) => {
