Drop an answer to a read that began beyond the end known by then

A drain or a version could be skipped for good after the store had returned from a copy. A read waited at an offset of the ended era; meanwhile another instance told of the new era, in which the offsets go back; the store's end grew past the old offset, and the answer, of the new era, began there. The known end moved behind it, over the records in between.

read_stream compares the offset that it asked for with the known end when the answer comes, and returns an error if it lies beyond, so the follower reads again from the known end.

Ruled out: a check for gaps between records, since unreadable records leave such gaps, too.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -312,26 +312,35 @@
 ///
 /// # Errors
 /// Returns an error if the call to the store fails, or its answer is of an era that has
-/// ended, as that may lack what has been written since.
+/// ended or begins beyond the known end, as it then lacks records.
 pub async fn read_stream<P: Platform>(
     gateway: &Gateway<P>,
     stream: Stream,
     is_loaded: bool,
     wait: Duration,
 ) -> Result<Records, StoreError> {
+    let from = gateway.view().next_offset(stream);
     let records = if is_loaded {
-        let from = gateway.view().next_offset(stream);
         gateway.platform.read(stream, from, wait).await?
     } else {
         gateway.platform.newest(stream).await?
     };
+    let (known_era, known_end) = {
+        let view = gateway.view();
+        (view.copy(stream).era, view.next_offset(stream))
+    };
     let era = records.era;
-    let known_era = gateway.view().copy(stream).era;
     if era < known_era {
         return Err(StoreError::InvalidResponse(format!(
             "it is of era {era}, which has ended; era {known_era} is known"
         )));
     }
+    // Another instance may have told of a new era, in which the offsets went back.
+    if is_loaded && era == known_era && known_end < from {
+        return Err(StoreError::InvalidResponse(format!(
+            "it begins at {from}, beyond the known end {known_end} in era {era}"
+        )));
+    }
     Ok(records)
 }
 
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -364,6 +364,29 @@
     expect_that!(polls, le(4));
 }
 
+// Guards against records being skipped that stand before the offset of a read that began
+// before another instance told of the return.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_answer_to_a_read_of_an_ended_era_skips_no_records() {
+    let store = FakeStore::new();
+    let gateway = loaded_gateway(&store).await;
+    store.write(Stream::Upstreams, "up-2", Some("ready"));
+    store.write(Stream::Upstreams, "up-3", Some("ready"));
+    sleep(BOUND).await;
+    let has_read_all = || gateway.view().next_offset(Stream::Upstreams) == 5;
+    within(BOUND, "the end", has_read_all).await;
+    store.return_from_copy(Stream::Upstreams, 2);
+    let told = store.newest(Stream::Upstreams);
+    gateway.apply_records(Stream::Upstreams, told, Extent::PeerState, "the test");
+
+    store.write_without_waking(Stream::Upstreams, "up-1", Some("draining"));
+    store.write_without_waking(Stream::Upstreams, "up-2", Some("ready"));
+    store.write(Stream::Upstreams, "up-3", Some("ready"));
+
+    within(BOUND, "up-1 drains", || !is_usable(&gateway, "up-1")).await;
+}
+
 // Guards against an instance that has started taking an upstream that had left from
 // another one that has not heard of it yet.
 #[gtest]
