Read the streams anew when another instance tells of a new era of the store

An instance that another one had told of the store's return could be without news of upstreams and instances for 3 s more: its long poll still waited at an offset of the ended era, before which the new records stood. Cause: only its own reads that met the new era made the other streams look again.

Records of another instance in a later era than the known one do so as well, with a log line.

--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -136,7 +136,14 @@
             } else {
                 Extent::Following
             };
+            let known_era = gateway.view().copy(told.stream).era;
+            let era = told.records.era;
             gateway.apply_records(told.stream, told.records, extent, &source);
+            if known_era != 0 && era > known_era {
+                tracing::info!(stream = %told.stream, era, source, "the store has returned from a copy; reading the streams anew");
+                // A long poll in flight waits at an offset of the ended era.
+                gateway.store_recheck.notify_waiters();
+            }
         }
         let now_ms = gateway.now_ms();
         gateway
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -387,6 +387,35 @@
     within(BOUND, "up-1 drains", || !is_usable(&gateway, "up-1")).await;
 }
 
+// Guards against a read that waits at an offset of an ended era after another instance has
+// told of the return: it gets no records that stand before that offset.
+#[gtest]
+#[tokio::test]
+async fn a_read_of_an_ended_era_ends_when_another_instance_tells_of_the_return() {
+    let store = FakeStore::new();
+    for id in ["up-1", "up-2", "up-3"] {
+        store.write(Stream::Upstreams, id, Some("ready"));
+    }
+    let gateway = gateway(&store);
+    tokio::spawn(follower::follow(Arc::clone(&gateway), Stream::Upstreams));
+    within(BOUND, "all is read", || ready_upstreams(&gateway) == 3).await;
+    // The long poll of 3 s follows a pause of 700 ms and one poll of 1.2 s.
+    sleep(Duration::from_millis(2_100)).await;
+    store.return_from_copy(Stream::Upstreams, 2);
+    let peer = TestInstance::start(&store, settings("gate-2", own_address(), &[])).await;
+    within(BOUND, "the other instance has read", || {
+        peer.gateway.is_active_reader()
+    })
+    .await;
+
+    let address = peer.gateway.settings().peer_address;
+    let mut client = PeerClient::connect(address).await.unwrap();
+    client.fetch(&gateway, Duration::ZERO).await.unwrap();
+    store.write(Stream::Upstreams, "up-1", Some("draining"));
+
+    within(BOUND, "up-1 drains", || !is_usable(&gateway, "up-1")).await;
+}
+
 // Guards against an instance that has started taking an upstream that had left from
 // another one that has not heard of it yet.
 #[gtest]
