Let long polls of the operator's stream last 30 s, as checks run beside them

Each instance that reads the store made 45 reads a minute for versions; 42 give the same speed of detection. What detects is the check 0.3 s after the start of a poll and then each 1.5 s; the poll's own wait adds a poll and an early check each time it ends. It is now the longest that the platform takes.

Ruled out: polls of 1.5 s in place of checks save two more, but a lost poll is then noticed after 2.3 s instead of 1.5 s; sharing the checks among the readers of the data centres, who need not poll each other. Fewer than 40 at this speed are not possible for an instance that asks for itself.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -24,10 +24,11 @@
 impl Stream {
     /// Wait of a long poll. It is short, so that a part of the store that hangs is
     /// detected within the platform's bounds; [`super::long_poll_checks`] does that for the
-    /// operator stream, whose bound is shorter.
+    /// operator stream, whose bound is shorter, so its wait is the longest that the platform
+    /// takes.
     fn long_poll_wait(self) -> Duration {
         match self {
-            Self::Operator => Duration::from_secs(20),
+            Self::Operator => Duration::from_secs(30),
             Self::Upstreams | Self::Instances => Duration::from_secs(3),
         }
     }
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -255,10 +255,10 @@
     sleep(Duration::from_mins(1)).await;
 
     // Each stream is asked as often as its bound after a silence needs: each 1.5 s for
-    // versions, beside the long polls of 20 s, and each 3 s for the others.
+    // versions, beside two long polls of 30 s, and each 3 s for the others.
     let made = relay::STREAMS.map(calls);
     for (index, (stream, most)) in [
-        (Stream::Operator, 40 + 60 / 20 + 2),
+        (Stream::Operator, 40 + 60 / 30),
         (Stream::Upstreams, 60 / 3),
         (Stream::Instances, 60 / 3),
     ]
