Let instances try the store in turn while its readers are turned away

Callers got 404 on routes that a version had added, from a gateway that the store served. At most three instances of a data centre try the store. If it turns these away and serves another one, nobody reads the versions until the outage ends.

Each other instance now tries it by one short read, 0.1 s after the one ranked before it, once its source of records says that it lacks the store, and then once in 3 s while the newest confirmation of the operator stream is older than 3 s. One that is answered becomes a reader and tells all instances each second; they fetch from it until their own reader reads the store again.

Ruled out: more permanent readers (each calls three streams all the time); trials begun by the age alone (followers see ages up to 3 s while a reader of another data centre has access, so the bound of 2 s would be missed).

What stays: a version written in the first second of such an outage is late, since a silent long poll is noticed after up to 2.3 s.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,6 +35,7 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod store_trials;
 pub mod stream_ages;
 pub mod stream_copy;
 pub mod supervisor;
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -149,6 +149,15 @@
         Ok(response.is_reader)
     }
 
+    /// Tells the peer of an instance that the store serves.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails.
+    pub async fn announce_reader(&self, address: SocketAddr) -> Result<(), RelayError> {
+        let announced = self.client.announce_reader(context::current(), address);
+        announced.await.map_err(RelayError::Call)
+    }
+
     /// Tells the peer of suspect requests.
     ///
     /// # Errors
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -20,13 +20,14 @@
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::Platform;
+use super::store_trials;
 use super::view::View;
 use crate::decision::rendezvous::weight;
 use crate::decision::store_reader::{self, PeerState, StoreRole};
 
 /// Wait of a long poll; together with the response timeout it stays well within
 /// the platform's bound of 2 s on a drain or a new version.
-const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
+pub const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a peer that failed is not polled again.
 const SUSPECT_TIME: Duration = Duration::from_secs(4);
 /// Time after which the peer is chosen again if there was none to poll; new
@@ -96,9 +97,18 @@
     gateway.has_settled()
 }
 
-/// Polls the reader of the data centre, or takes on the reader role, for the
-/// life of the process.
+/// Polls the reader of the data centre, takes on the reader role, or finds another
+/// instance that the store serves, for the life of the process.
 pub async fn run<P: Platform>(gateway: Arc<Gateway<P>>) {
+    tokio::join!(
+        poll_reader(&gateway),
+        store_trials::try_in_turn(&gateway),
+        store_trials::follow_announced(&gateway),
+    );
+}
+
+/// Polls the reader of the data centre, or takes on the reader role.
+async fn poll_reader<P: Platform>(gateway: &Gateway<P>) {
     let mut follower = PeerFollower {
         suspects: HashMap::new(),
         client: None,
@@ -107,7 +117,7 @@
     let mut changes = gateway.watch_changes();
     loop {
         changes.mark_unchanged();
-        let source = follower.choose(&gateway);
+        let source = follower.choose(gateway);
         if source.is_reader {
             gateway.set_reader_role(true, "this instance was chosen as a reader");
         }
@@ -124,28 +134,34 @@
         } else {
             LONG_POLL_WAIT
         };
-        match follower.fetch(&gateway, address, wait).await {
+        let fetched = follower.fetch(gateway, address, wait).await;
+        if matches!(fetched, Ok(false)) && !is_settling(gateway) && !gateway.is_active_reader() {
+            gateway.on_record_source(false);
+        }
+        match fetched {
             Ok(true) => {
                 follower.takeover = None;
-                if !is_settling(&gateway) {
+                gateway.on_record_source(true);
+                if !is_settling(gateway) {
                     gateway.set_settled();
                 }
                 if !source.is_reader {
+                    gateway.set_trial_won(false);
                     gateway.set_reader_role(false, "another instance reads the store");
                 }
             }
             // Seeds may start a little later and read the store from then on.
-            Ok(false) | Err(_) if is_settling(&gateway) => {
+            Ok(false) | Err(_) if is_settling(gateway) => {
                 sleep(TAKEOVER_RETRY_DELAY).await;
             }
             Ok(false) if source.is_without_store => {
-                if gateway.is_ready() {
+                if gateway.is_ready() && !gateway.keeps_won_role() {
                     gateway.set_reader_role(false, "enough other instances try the store");
                 }
                 sleep(STORE_LOST_RETRY_DELAY).await;
             }
             Ok(false) if follower.may_take_over(address) => {
-                if !source.is_reader && gateway.is_ready() {
+                if !source.is_reader && gateway.is_ready() && !gateway.keeps_won_role() {
                     gateway
                         .set_reader_role(false, "another instance is taking over the reader role");
                 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -106,6 +106,9 @@
         wait_ms: u64,
     ) -> RecordsResponse;
 
+    /// Tells this instance of one that the store serves.
+    async fn announce_reader(address: SocketAddr);
+
     /// Tells this instance of suspect requests.
     async fn report_suspects(reports: Vec<SuspectReport>);
 
@@ -174,19 +177,20 @@
         let missing = || missing_records(gateway, &positions, told);
         let mut changes = gateway.watch_changes();
         let mut response = missing();
-        let wait = Duration::from_millis(wait_ms).min(MAX_LONG_POLL_WAIT);
-        let until = Instant::now() + wait;
+        let until = Instant::now() + Duration::from_millis(wait_ms).min(MAX_LONG_POLL_WAIT);
         while response.is_empty() && response.is_reader {
             match timeout_at(until, changes.changed()).await {
-                Ok(Ok(())) => {
-                    response = missing();
-                }
+                Ok(Ok(())) => response = missing(),
                 Ok(Err(_)) | Err(_) => break,
             }
         }
         response
     }
 
+    async fn announce_reader(self, _: context::Context, address: SocketAddr) {
+        self.gateway.on_reader_announced(address);
+    }
+
     async fn report_suspects(self, _: context::Context, reports: Vec<SuspectReport>) {
         self.gateway.merge_suspects(&reports, "another instance");
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use super::rate_limits::LimitState;
 use super::settings::Settings;
 use super::store::{Platform, Records, Stream};
+use super::store_trials::ReaderSearch;
 use super::stream_ages::StreamAges;
 use super::suspects::SuspectState;
 use super::taken::TakenState;
@@ -84,6 +85,8 @@
     pub store_recheck: Notify,
     /// When the store last confirmed what is known of each stream.
     pub stream_ages: StreamAges,
+    /// What is known of readers while the source of records lacks the store.
+    pub reader_search: watch::Sender<ReaderSearch>,
     /// Number of the long poll of [`Stream::Operator`] in flight, if there is one.
     pub operator_long_poll: watch::Sender<Option<u64>>,
     /// Notified when a check finds records that the long poll in flight has not returned.
@@ -140,6 +143,7 @@
             upstream_clients: UpstreamClients::default(),
             store_recheck: Notify::new(),
             stream_ages: StreamAges::default(),
+            reader_search: watch::Sender::default(),
             operator_long_poll: watch::Sender::default(),
             operator_poll_missed_records: Notify::new(),
             suspects: SuspectState::default(),
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::links::Links;
 
@@ -225,6 +225,9 @@
     pub store: Arc<FakeStore>,
     names: HeaderNames,
     links: Arc<Links>,
+    /// Whether the store answers none of this gateway's calls.
+    is_silent: watch::Sender<bool>,
+    calls: AtomicUsize,
 }
 
 impl FakePlatform {
@@ -232,6 +235,8 @@
         Self {
             store: Arc::clone(store),
             links: Links::new(),
+            is_silent: watch::Sender::new(false),
+            calls: AtomicUsize::new(0),
             names: HeaderNames {
                 request_id: HeaderName::from_static("t-id"),
                 deadline_ms: HeaderName::from_static("t-deadline-ms"),
@@ -247,6 +252,34 @@
         }
     }
 
+    /// Sets whether the store leaves the calls of this gateway without an answer.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.send_replace(is_silent);
+    }
+
+    /// Number of calls that this gateway has made.
+    pub fn call_count(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// The answer to a call, unless the store is silent to this gateway.
+    async fn answer<T>(
+        &self,
+        limit: Duration,
+        call: impl Future<Output = std::result::Result<T, StoreError>>,
+    ) -> std::result::Result<T, StoreError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let until = Instant::now() + limit;
+        let mut silence = self.is_silent.subscribe();
+        tokio::select! {
+            biased;
+            _ = silence.wait_for(|is_silent| *is_silent) => {}
+            result = call => return result,
+        }
+        sleep_until(until).await;
+        Err(StoreError::Unreachable("no response in time".to_owned()))
+    }
+
     /// Reaches upstreams only through these links.
     pub fn with_links(self, links: &Arc<Links>) -> Self {
         Self {
@@ -256,22 +289,8 @@
     }
 }
 
-impl Platform for FakePlatform {
-    fn headers(&self) -> &HeaderNames {
-        &self.names
-    }
-
-    fn ready_path(&self) -> &'static str {
-        "/ready"
-    }
-
-    async fn newest(&self, stream: Stream) -> std::result::Result<Records, StoreError> {
-        let limit = Duration::from_millis(800);
-        self.store.simulate_call(stream, limit).await?;
-        Ok(self.store.newest(stream))
-    }
-
-    async fn read(
+impl FakePlatform {
+    async fn read_served(
         &self,
         stream: Stream,
         from: u64,
@@ -318,6 +337,36 @@
             }
         }
     }
+}
+
+impl Platform for FakePlatform {
+    fn headers(&self) -> &HeaderNames {
+        &self.names
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    async fn newest(&self, stream: Stream) -> std::result::Result<Records, StoreError> {
+        let limit = Duration::from_millis(800);
+        let read = async {
+            self.store.simulate_call(stream, limit).await?;
+            Ok(self.store.newest(stream))
+        };
+        self.answer(limit, read).await
+    }
+
+    async fn read(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+    ) -> std::result::Result<Records, StoreError> {
+        let limit = wait + Duration::from_millis(800);
+        let read = self.read_served(stream, from, wait);
+        self.answer(limit, read).await
+    }
 
     async fn put_instance(
         &self,
@@ -325,10 +374,13 @@
         value: Option<&[u8]>,
     ) -> std::result::Result<(), StoreError> {
         let limit = Duration::from_millis(800);
-        self.store.simulate_call(Stream::Instances, limit).await?;
-        let text = value.map(|value| std::str::from_utf8(value).unwrap());
-        self.store.write(Stream::Instances, key, text);
-        Ok(())
+        let written = async {
+            self.store.simulate_call(Stream::Instances, limit).await?;
+            let text = value.map(|value| std::str::from_utf8(value).unwrap());
+            self.store.write(Stream::Instances, key, text);
+            Ok(())
+        };
+        self.answer(limit, written).await
     }
 
     fn evacuated_data_centre(&self, key: &str) -> Option<Arc<str>> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod reader_role;
 mod server;
 mod store_copy;
+mod store_trials;
 mod upstream;
 mod upstream_answers;
--- a/tests/gateway/reader_role.rs
+++ b/tests/gateway/reader_role.rs
@@ -17,13 +17,13 @@
 use super::fake::{FakePlatform, FakeStore, Mode, own_address, settings, within};
 
 /// The platform's bound on a drain and on applying a new manifest.
-const BOUND: Duration = Duration::from_secs(2);
+pub const BOUND: Duration = Duration::from_secs(2);
 /// Time within which the instances know each other and agree on the readers.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+pub const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A gateway with the tasks that read the store and exchange records.
-struct TestInstance {
-    gateway: Arc<Gateway<FakePlatform>>,
+pub struct TestInstance {
+    pub gateway: Arc<Gateway<FakePlatform>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -60,17 +60,17 @@
         Self { gateway, tasks }
     }
 
-    fn is_reader(&self) -> bool {
+    pub fn is_reader(&self) -> bool {
         *self.gateway.watch_reader_role().borrow()
     }
 
-    fn version(&self) -> u64 {
+    pub fn version(&self) -> u64 {
         let manifest = self.gateway.manifest();
         manifest.map_or(0, |manifest| manifest.version)
     }
 }
 
-async fn fleet(store: &Arc<FakeStore>, layout: &[(&str, &str)]) -> Vec<TestInstance> {
+pub async fn fleet(store: &Arc<FakeStore>, layout: &[(&str, &str)]) -> Vec<TestInstance> {
     store.write(Stream::Operator, "config", Some("1"));
     store.write(Stream::Upstreams, "up-1", Some("ready"));
     let mut instances = Vec::new();
--- /dev/null
+++ b/tests/gateway/store_trials.rs
@@ -0,0 +1,117 @@
+//! The search for an instance that the store serves while it turns all readers away.
+//! Instances talk over loopback, so these tests run on the real clock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorywing::decision::rendezvous::weight;
+use chicorywing::gateway::store::Stream;
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use super::fake::{FakeStore, within};
+use super::reader_role::{BOUND, SETTLE_TIMEOUT, TestInstance, fleet};
+
+/// Thirteen instances in three data centres.
+fn thirteen_instances() -> Vec<(String, &'static str)> {
+    let mut layout = Vec::new();
+    for number in 0..13 {
+        layout.push((format!("gate-{number}"), ["x", "y", "z"][number % 3]));
+    }
+    layout
+}
+
+/// Starts them; the last one is the one of `x` that reads the store after all others.
+async fn thirteen_instance_fleet(store: &Arc<FakeStore>) -> Vec<TestInstance> {
+    let names = thirteen_instances();
+    let layout: Vec<(&str, &str)> = names.iter().map(|(name, at)| (&**name, *at)).collect();
+    let mut instances = fleet(store, &layout).await;
+    instances.sort_by_key(|instance| {
+        let settings = instance.gateway.settings();
+        let is_in_x = &*settings.data_centre == "x";
+        let rank = weight(&settings.data_centre, &settings.name);
+        (is_in_x, std::cmp::Reverse(rank))
+    });
+    instances
+}
+
+// Guards against versions that stay unknown while the store turns the readers of all data
+// centres away and serves another instance.
+#[gtest]
+#[tokio::test]
+async fn versions_are_known_while_the_store_serves_one_of_13_instances() {
+    let store = FakeStore::new();
+    let instances = thirteen_instance_fleet(&store).await;
+    let (served, others) = instances.split_last().unwrap();
+    for instance in others {
+        instance.gateway.platform.set_silent(true);
+    }
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(served.is_reader(), eq(false));
+
+    store.write(Stream::Operator, "config", Some("2"));
+
+    let is_known = || instances.iter().all(|instance| instance.version() == 2);
+    within(BOUND, "version 2 everywhere", is_known).await;
+    store.write(Stream::Operator, "config", Some("3"));
+    let is_known = || instances.iter().all(|instance| instance.version() == 3);
+    within(BOUND, "version 3 everywhere", is_known).await;
+}
+
+// Guards against an instance that reads the store for all keeping the role after the
+// readers of the data centres are back.
+#[gtest]
+#[tokio::test]
+async fn readers_that_are_served_again_replace_the_one_that_was_found() {
+    let store = FakeStore::new();
+    let instances = thirteen_instance_fleet(&store).await;
+    let (served, others) = instances.split_last().unwrap();
+    for instance in others {
+        instance.gateway.platform.set_silent(true);
+    }
+    let is_found = || served.gateway.is_active_reader();
+    within(SETTLE_TIMEOUT, "the served instance reads", is_found).await;
+
+    for instance in others {
+        instance.gateway.platform.set_silent(false);
+    }
+
+    let has_one_reader_each = || {
+        let readers = instances.iter().filter(|instance| instance.is_reader());
+        readers.count() == 3 && !served.is_reader()
+    };
+    within(SETTLE_TIMEOUT, "one reader each", has_one_reader_each).await;
+}
+
+// Guards against all instances calling a store that is down.
+#[gtest]
+#[tokio::test]
+async fn instances_that_are_not_readers_seldom_try_a_silent_store() {
+    let store = FakeStore::new();
+    let instances = thirteen_instance_fleet(&store).await;
+    for instance in &instances {
+        instance.gateway.platform.set_silent(true);
+    }
+    let count = |instance: &TestInstance| instance.gateway.platform.call_count();
+    let before: Vec<usize> = instances.iter().map(count).collect();
+
+    let mut have_read = vec![false; instances.len()];
+    for _ in 0..80 {
+        sleep(Duration::from_millis(100)).await;
+        for (has_read, instance) in have_read.iter_mut().zip(&instances) {
+            *has_read |= instance.is_reader();
+        }
+    }
+
+    // At most three instances of each data centre are readers; each other one tries the
+    // store once every 3 s, so three times in 8 s.
+    expect_that!(
+        have_read.iter().filter(|has_read| **has_read).count(),
+        le(9)
+    );
+    for (index, instance) in instances.iter().enumerate() {
+        if !have_read[index] {
+            expect_that!(count(instance) - before[index], le(3));
+        }
+    }
+}
