Poll no instances behind three that lack the store

Callers got 404 on routes that newer versions had added, and instances of a large data centre could be too busy to answer readiness checks, while the store did not answer the readers of the data centre.

Cause: a follower preferred any instance that it did not suspect yet to the three that try the store, though those behind the third never try it. So all followers of a data centre polled one such instance after the other, each for 0.6 s, ten times a second; suspicions end after 4 s, so a data centre of more than seven never settled, and no records were passed on meanwhile.

The choice now ends at the third that lacks the store. decision::instances_behind_three_without_the_store_are_not_polled failed before ("Expected: FollowerWithoutStore(1), Actual: Follower(4)") and passes, with the 32 other tests of decision.

--- a/src/decision/store_reader.rs
+++ b/src/decision/store_reader.rs
@@ -47,19 +47,27 @@
 
 /// Chooses the role of this instance by the states of the instances with a
 /// better rank, in the order of their ranks.
+///
+/// Those behind enough instances that cannot reach the store do not count, whatever their
+/// state: they do not try it either.
 #[must_use]
 pub fn choose_role(peers: &[PeerState]) -> StoreRole {
-    let find = |wanted: PeerState| peers.iter().position(|state| *state == wanted);
-    if let Some(rank) = find(PeerState::Usable) {
-        return StoreRole::Follower(rank);
-    }
-    let without_store = peers
-        .iter()
-        .filter(|state| **state == PeerState::StoreUnreachable);
-    match find(PeerState::StoreUnreachable) {
-        Some(rank) if without_store.count() >= MAX_READERS => StoreRole::FollowerWithoutStore(rank),
-        _ => StoreRole::Reader,
+    let mut first_without_store = None;
+    let mut without_store = 0;
+    for (rank, state) in peers.iter().enumerate() {
+        match state {
+            PeerState::Usable => return StoreRole::Follower(rank),
+            PeerState::StoreUnreachable => {
+                let first = *first_without_store.get_or_insert(rank);
+                without_store += 1;
+                if without_store >= MAX_READERS {
+                    return StoreRole::FollowerWithoutStore(first);
+                }
+            }
+            PeerState::Unresponsive => {}
+        }
     }
+    StoreRole::Reader
 }
 
 /// Time from the loss of the store to the first try of the instance with this rank in
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -616,6 +616,21 @@
     );
 }
 
+// Guards against a large data centre that polls one instance after the other, and passes no
+// records on, while the store does not answer the three that try it.
+#[gtest]
+fn instances_behind_three_without_the_store_are_not_polled() {
+    use PeerState::{StoreUnreachable, Unresponsive, Usable};
+    let mut peers = vec![Unresponsive, StoreUnreachable, StoreUnreachable];
+    peers.push(StoreUnreachable);
+
+    for _ in 0..40 {
+        peers.push(Usable);
+        expect_that!(choose_role(&peers), eq(StoreRole::FollowerWithoutStore(1)));
+    }
+    expect_that!(choose_role(&peers[..3]), eq(StoreRole::Reader));
+}
+
 /// Share of requests whose first probe goes to a local upstream.
 fn local_share(local: usize, remote: usize) -> f64 {
     let mut candidates = Vec::new();
