Test that proper requests find their route however they are written

Shapes that HAZARDS.md §16 lists as not tried: a Host in another case or with a port, an absolute target, a doubled or an escaped slash behind the prefix, a query, a connection whose requests change their Host, a head and a body exactly at the limits.

--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use chicorywing::decision::directory::UpstreamState;
+use chicorywing::decision::manifest::Route;
 use chicorywing::gateway::server::{CallerCounts, serve_callers, serve_ready};
 use chicorywing::gateway::state::Gateway;
 use googletest::prelude::*;
@@ -317,3 +318,76 @@
         }
     }
 }
+
+/// A server whose only route has the prefix `/x/`.
+async fn start_server_with_prefix(upstream: &FakeUpstream) -> TestServer {
+    let server = start_server(upstream).await;
+    let route = Route {
+        prefix: "/x/".into(),
+        ..route()
+    };
+    server.gateway.view().manifest = Some(Arc::new(manifest(2, &[route])));
+    server
+}
+
+// Guards against proper requests that are denied for the way in which they are written.
+#[gtest]
+#[tokio::test]
+async fn a_route_is_found_however_its_host_and_target_are_written() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::ZERO)).await;
+    let server = start_server_with_prefix(&upstream).await;
+
+    for (target, host) in [
+        ("/x/", "h.example"),
+        ("/x/y", "H.Example"),
+        ("/x/y", "h.example:8081"),
+        ("/x/?q=/y/", "h.example"),
+        ("/x//y", "h.example"),
+        ("/x/%2F..%2Fy", "h.example"),
+        ("http://h.example/x/y", "h.example"),
+        ("http://H.EXAMPLE:8081/x/y?q", "h.example"),
+    ] {
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        let request = format!("GET {target} HTTP/1.1\r\nhost: {host}\r\nt-id: i-1\r\n\r\n");
+
+        let response = exchange(&mut stream, &request).await;
+
+        expect_that!(response, starts_with("HTTP/1.1 200"), "{target} at {host}");
+    }
+}
+
+// Guards against a request that gets the route of the one before it on its connection.
+#[gtest]
+#[tokio::test]
+async fn each_request_of_a_connection_is_routed_by_its_own_host() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::ZERO)).await;
+    let server = start_server_with_prefix(&upstream).await;
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+    let get = |host: &str| format!("GET /x/y HTTP/1.1\r\nhost: {host}\r\nt-id: i-1\r\n\r\n");
+    let mut statuses = Vec::new();
+
+    for host in ["h.example", "other.example", "h.example"] {
+        let response = exchange(&mut stream, &get(host)).await;
+        statuses.push(response[9..12].to_owned());
+    }
+
+    expect_that!(statuses, elements_are![eq("200"), eq("404"), eq("200")]);
+}
+
+// Guards against a head or a body at the limits of the version in force being refused.
+#[gtest]
+#[tokio::test]
+async fn a_head_and_a_body_as_long_as_the_limits_are_served() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::ZERO)).await;
+    let server = start_server_with_prefix(&upstream).await;
+    let limits = server.gateway.manifest().unwrap().limits;
+    let start = "POST /x/y HTTP/1.1\r\nhost: h.example\r\nt-id: i-1\r\ncontent-length: ";
+    let head = format!("{start}{}\r\nt-fill: ", limits.max_body_bytes);
+    let fill = "f".repeat(limits.max_head_bytes - head.len() - 4);
+    let body = "b".repeat(limits.max_body_bytes);
+    let mut stream = TcpStream::connect(server.address).await.unwrap();
+
+    let response = exchange(&mut stream, &format!("{head}{fill}\r\n\r\n{body}")).await;
+
+    expect_that!(response, starts_with("HTTP/1.1 200"));
+}
