Order records of an unknown era by their offset

It passed on version 7 with the position behind version 10, and those who took it over never read version 10.

A record of an unknown era stands at its offset in the present era, so it is compared as one of that era. Before another era begins, the present one is noted at these records, as they would otherwise count as records of the new one.

Ruled out: lost reads (the store had answered with version 10), the decoder (version 10 was applied by 126 other gateways).

--- a/src/gateway/stream_copy.rs
+++ b/src/gateway/stream_copy.rs
@@ -69,26 +69,45 @@
     }
 
     /// Whether a record is newer than the known one of its key: eras first, then offsets.
+    /// A record of an unknown era stands at its offset in the present one.
     #[must_use]
     pub fn is_newer(&self, record: &KeyedRecord) -> bool {
-        let known = self.records.get(&record.key);
-        known.is_none_or(|known| (known.era, known.offset) < (record.era, record.offset))
+        self.is_newer_in(record, self.era)
     }
 
-    /// Whether a record of another instance's state is news: newer than the known one, or
-    /// of a key that this copy lacks because it never stood in what was read.
+    /// The same for a record that stands at its offset in `era` if its own is unknown.
+    fn is_newer_in(&self, record: &KeyedRecord, era: u64) -> bool {
+        let Some(known) = self.records.get(&record.key) else {
+            return true;
+        };
+        let known_era = if known.era == 0 { self.era } else { known.era };
+        let era = if record.era == 0 { era } else { record.era };
+        (known_era, known.offset) < (era, record.offset)
+    }
+
+    /// Whether a record of another instance's state in `era` is news: newer than the known
+    /// one, or of a key that this copy lacks because it never stood in what was read.
     ///
     /// What the store held at the end of the first read is known, so an older record of a
     /// missing key belongs to one that has been deleted.
     #[must_use]
-    pub fn is_news(&self, record: &KeyedRecord) -> bool {
+    pub fn is_news(&self, record: &KeyedRecord, era: u64) -> bool {
         if self.records.contains_key(&record.key) {
-            return self.is_newer(record);
+            return self.is_newer_in(record, era);
         }
         let is_of_this_era = record.era == 0 || record.era == self.era;
         !(is_of_this_era && record.offset < self.snapshot_end)
     }
 
+    /// Notes the present era at records of an unknown one, before a new era begins.
+    pub fn note_present_era(&mut self) {
+        for known in self.records.values_mut() {
+            if known.era == 0 {
+                known.era = self.era;
+            }
+        }
+    }
+
     /// Takes over the era that another instance knows of the same record.
     pub fn correct_era(&mut self, record: &KeyedRecord) {
         if let Some(known) = self.records.get_mut(&record.key)
@@ -189,6 +208,7 @@
     /// Begins a new era of the store, in which reads go on from `next_offset`; the records
     /// of the keys in `lost` are not in the store any more.
     pub fn begin_era(&mut self, era: u64, next_offset: u64, lost: Vec<Arc<str>>) {
+        self.note_present_era();
         self.era = era;
         self.next_offset = next_offset;
         self.snapshot_end = next_offset;
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -282,6 +282,7 @@
         let is_new_era = state.era > self.copy(stream).era;
         if is_new_era {
             let copy = self.copy_mut(stream);
+            copy.note_present_era();
             for record in &state.records {
                 copy.correct_era(record);
             }
@@ -290,7 +291,7 @@
             copy.snapshot_end = 0;
         }
         for record in state.records {
-            if self.copy(stream).is_news(&record) {
+            if self.copy(stream).is_news(&record, state.era) {
                 self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
             }
         }
