--- a/src/gateway/stream_copy.rs
+++ b/src/gateway/stream_copy.rs
@@ -24,7 +24,7 @@
 /// The newest record of a key; without a value, it is a tombstone.
 #[derive(Clone, Debug)]
 pub struct KnownRecord {
-    /// Era in which it was written; 0 if unknown.
+    /// Era in which it was written; 0 if unknown, but it stands in that of the copy.
     pub era: u64,
     /// Position in the stream, in that era.
     pub offset: u64,
@@ -69,20 +69,25 @@
     }
 
     /// Whether a record is newer than the known one of its key: eras first, then offsets.
-    /// A record of an unknown era stands at its offset in the present one.
     #[must_use]
     pub fn is_newer(&self, record: &KeyedRecord) -> bool {
         self.is_newer_in(record, self.era)
     }
 
-    /// The same for a record that stands at its offset in `era` if its own is unknown.
+    /// The same for a record that stands in the stream in `era`.
+    ///
+    /// One of an unknown era stands there at its offset, so within an era offsets decide. It
+    /// is older than a lost one of an earlier era: it may have been in the copy from which
+    /// the store has returned.
     fn is_newer_in(&self, record: &KeyedRecord, era: u64) -> bool {
         let Some(known) = self.records.get(&record.key) else {
             return true;
         };
-        let known_era = if known.era == 0 { self.era } else { known.era };
-        let era = if record.era == 0 { era } else { record.era };
-        (known_era, known.offset) < (era, record.offset)
+        let stands_here = |of: u64| of == 0 || of == self.era;
+        if era == self.era && stands_here(known.era) && stands_here(record.era) {
+            return known.offset < record.offset;
+        }
+        (known.era, known.offset) < (record.era, record.offset)
     }
 
     /// Whether a record of another instance's state in `era` is news: newer than the known
--- a/tests/peer_state.rs
+++ b/tests/peer_state.rs
@@ -65,3 +65,29 @@
     expect_that!(view.next_offset(Stream::Operator), eq(3));
     expect_that!(version_in_force(&view), some(eq(10)));
 }
+
+// Guards against an older record, which stands in the store again after its return from a
+// copy, replacing the lost one that stays in force.
+#[gtest]
+fn a_lost_record_stays_known_after_a_peer_has_told_an_older_one_from_a_snapshot() {
+    let platform = platform();
+    let mut view = View::default();
+    view.apply(&platform, Stream::Operator, version(10, 1, 9), false, 0);
+    let nothing = Records {
+        era: 2,
+        records: Vec::new(),
+        next_offset: 9,
+    };
+    view.apply_new_era(&platform, Stream::Operator, 9, nothing, 1);
+    let snapshot = Records {
+        era: 2,
+        ..version(7, 0, 1)
+    };
+
+    view.apply_peer_state(&platform, Stream::Operator, snapshot, false, 2);
+
+    let told = view.copy(Stream::Operator).all_records();
+    let mut follower = View::default();
+    follower.apply_peer_state(&platform, Stream::Operator, told, false, 3);
+    expect_that!(version_in_force(&follower), some(eq(10)));
+}
