Let late answers and kept connections end the belief in lost links

Cause: a check of lost links opened new connections only, gave each probe up after 450 ms and began anew, so that answers after 600 ms never counted. Its end closed all kept connections, after which everything needed new ones again. An instance that had been idle was certain of its belief at once, and refused what it could have tried.

Checks now probe a kept connection as well if a new one is silent for 60 ms, late probes wait on for 3 s (eight at most), a check waits for twice the usual time of probes (250 to 1,000 ms), kept connections are closed only if they stayed silent, and certainty needs 400 ms of the belief. A lost link is known as before while probes are fast: the wait is 250 ms then, and one fast probe restores it.

Tried and dropped: kept connections probed by every check.

Not changed: probes of requests give up after 300 and 500 ms, so upstreams whose every answer takes longer serve nothing, as before.

--- a/src/decision/upstream_contact.rs
+++ b/src/decision/upstream_contact.rs
@@ -14,6 +14,17 @@
 const MIN_FAILED: usize = 3;
 /// The same if fewer are known; one upstream alone never suffices.
 const MIN_FAILED_OF_FEW: usize = 2;
+/// Shortest and longest time in which a check must be answered, in milliseconds: a first
+/// packet that is lost is sent again after 200 ms; requests wait for no more than a second.
+const CHECK_WAIT_MS: [u64; 2] = [250, 1_000];
+/// Factor from the usual time of probes to that of a check.
+const CHECK_WAIT_FACTOR: u64 = 2;
+/// Divisor for the part of a longer time that the usual time of probes takes over.
+const LONGER_TIME_DIVISOR: u64 = 2;
+/// Time without an answer from which the belief is certain, and the part of it that the
+/// belief must have held, in milliseconds; before, an answer may only be late.
+const CERTAIN_SILENCE_MS: u64 = 750;
+const CERTAIN_HELD_MS: u64 = 400;
 
 /// What a change of the belief rests on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +46,8 @@
     failed: HashSet<Arc<str>>,
     cut_off_since_ms: Option<u64>,
     last_end_ms: Option<u64>,
+    /// Usual time of answered probes, in milliseconds.
+    probe_ms: u64,
 }
 
 impl UpstreamContact {
@@ -59,6 +72,38 @@
         }
     }
 
+    /// Records how long an answered probe took. A single short time shows that upstreams
+    /// are not slow; a long one may be that of one upstream, or of links that were lost.
+    pub fn on_probe_time(&mut self, took_ms: u64) {
+        if took_ms <= self.probe_ms {
+            self.probe_ms = took_ms;
+            return;
+        }
+        self.probe_ms += (took_ms - self.probe_ms).div_ceil(LONGER_TIME_DIVISOR);
+    }
+
+    /// Time in which a check must be answered, in milliseconds: longer while all probes
+    /// are slow.
+    #[must_use]
+    pub fn check_wait_ms(&self) -> u64 {
+        let [shortest, longest] = CHECK_WAIT_MS;
+        (self.probe_ms * CHECK_WAIT_FACTOR).clamp(shortest, longest)
+    }
+
+    /// Whether the belief has held for so long, and without an answer, that requests need
+    /// not try the upstreams.
+    #[must_use]
+    pub fn is_certain(&self, now_ms: u64) -> bool {
+        let Some(since_ms) = self.cut_off_since_ms else {
+            return false;
+        };
+        let least_held_ms = CERTAIN_HELD_MS.max(self.probe_ms * CHECK_WAIT_FACTOR);
+        let is_silent = self
+            .no_answer_ms(now_ms)
+            .is_none_or(|age| age >= CERTAIN_SILENCE_MS);
+        is_silent && now_ms.saturating_sub(since_ms) >= least_held_ms
+    }
+
     /// Whether enough upstreams failed without an answer that the links must be checked.
     #[must_use]
     pub fn is_suspected(&self, known: usize) -> bool {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod handed;
 pub mod limit_exchange;
 pub mod limited_choice;
+pub mod link_checks;
 pub mod logging;
 pub mod long_poll_checks;
 pub mod lost_records;
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -22,9 +22,6 @@
 const SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Time since the last answer up to which a request waits for offers that may still come.
 const YOUNG_CUT_MS: u64 = 600;
-/// Time without an answer from which requests that nobody takes are refused at once;
-/// before, an answer may only be late, and a request still tries the upstreams itself.
-const CERTAIN_CUT_MS: u64 = 750;
 /// Delay before a request looks again for them.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(15);
 /// Time in which a receiver must accept a connection.
@@ -112,10 +109,10 @@
     !contact.has_answered_since(began_ms) && no_answer_ms.is_some_and(|age| age < YOUNG_CUT_MS)
 }
 
-/// Whether requests that no other instance takes are refused at once.
+/// Whether requests that no other instance takes are refused at once; otherwise they still
+/// try the upstreams.
 pub fn is_certain<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let no_answer_ms = gateway.contact.decision().no_answer_ms(gateway.now_ms());
-    gateway.contact.is_cut_off() && no_answer_ms.is_none_or(|age| age >= CERTAIN_CUT_MS)
+    gateway.contact.decision().is_certain(gateway.now_ms())
 }
 
 /// Refuses a request that no instance can serve.
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -251,6 +251,7 @@
         }
     };
     gateway.on_upstream_answer(&client.id);
+    gateway.on_probe_time(sent_at);
     gateway.on_named_limit(&client, named_limit, sent_at, AnswerKind::Probe);
     gateway.on_notice(&client, notice, sent_at, probe_answer_kind(&reading));
     let is_local = upstream.report.data_centre == gateway.settings().data_centre;
--- a/src/gateway/upstream_client.rs
+++ b/src/gateway/upstream_client.rs
@@ -269,8 +269,16 @@
     /// # Errors
     /// [`ProbeError::Unreachable`] if that fails.
     pub async fn open(&self, metrics: &Metrics) -> Result<Connection, ProbeError> {
+        self.open_within(metrics, CONNECT_TIMEOUT).await
+    }
+
+    async fn open_within(
+        &self,
+        metrics: &Metrics,
+        limit: Duration,
+    ) -> Result<Connection, ProbeError> {
         metrics.connections_opened.inc();
-        Connection::open(self.address, CONNECT_TIMEOUT)
+        Connection::open(self.address, limit)
             .await
             .map_err(ProbeError::Unreachable)
     }
@@ -286,14 +294,15 @@
         health_path: &str,
         metrics: &Metrics,
     ) -> Result<ProbeResponse, ProbeError> {
-        let probe = self.probe_once(names, health_path, metrics, true);
+        let probe = self.probe_once(names, health_path, metrics);
         match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
             Ok(probed) => probed,
             Err(_) => Err(ProbeError::Timeout),
         }
     }
 
-    /// Like [`UpstreamClient::probe`], on a new connection and without a timeout.
+    /// Like [`UpstreamClient::probe`], on a new connection and without a timeout of the
+    /// response.
     ///
     /// # Errors
     /// As [`UpstreamClient::probe`].
@@ -302,8 +311,26 @@
         names: &HeaderNames,
         health_path: &str,
         metrics: &Metrics,
+        connect_timeout: Duration,
     ) -> Result<ProbeResponse, ProbeError> {
-        self.probe_once(names, health_path, metrics, false).await
+        metrics.probes.inc();
+        let connection = self.open_within(metrics, connect_timeout).await?;
+        self.probe_on(connection, names, health_path).await
+    }
+
+    /// Like [`UpstreamClient::probe`], on a connection of this client and without a timeout.
+    ///
+    /// # Errors
+    /// As [`UpstreamClient::probe`].
+    pub async fn probe_on_kept(
+        &self,
+        connection: Connection,
+        names: &HeaderNames,
+        health_path: &str,
+        metrics: &Metrics,
+    ) -> Result<ProbeResponse, ProbeError> {
+        metrics.probes.inc();
+        self.probe_on(connection, names, health_path).await
     }
 
     async fn probe_once(
@@ -311,23 +338,31 @@
         names: &HeaderNames,
         health_path: &str,
         metrics: &Metrics,
-        may_reuse: bool,
     ) -> Result<ProbeResponse, ProbeError> {
         metrics.probes.inc();
-        let request = self.probe_request(names, health_path);
-        let id_header = Some(&names.request_id);
-        let memory = ResponseMemory::new(PROBE_MEMORY_BYTES);
-        if may_reuse && let Some(mut connection) = self.take_idle() {
+        if let Some(connection) = self.take_idle() {
             // The upstream may have dropped an idle connection; then all idle ones
             // are closed, and the probe is sent on a new one.
-            let exchange = connection.probe_within(&request, id_header, &memory);
-            match exchange.await {
-                Ok(response) => return self.probe_response(names, connection, &response),
-                Err(ExchangeError::Disconnected(_)) => self.lock_idle().clear(),
-                Err(error) => return Err(error.into()),
+            match self.probe_on(connection, names, health_path).await {
+                Err(ProbeError::Exchange(ExchangeError::Disconnected(_))) => {
+                    self.lock_idle().clear();
+                }
+                probed => return probed,
             }
         }
-        let mut connection = self.open(metrics).await?;
+        let connection = self.open(metrics).await?;
+        self.probe_on(connection, names, health_path).await
+    }
+
+    async fn probe_on(
+        &self,
+        mut connection: Connection,
+        names: &HeaderNames,
+        health_path: &str,
+    ) -> Result<ProbeResponse, ProbeError> {
+        let request = self.probe_request(names, health_path);
+        let id_header = Some(&names.request_id);
+        let memory = ResponseMemory::new(PROBE_MEMORY_BYTES);
         let response = connection
             .probe_within(&request, id_header, &memory)
             .await?;
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -2,20 +2,19 @@
 //! links while they are in doubt, and keeps failures of its own links from counting
 //! against upstreams.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::calls::to_ms;
+use super::link_checks::{MAX_LATE_PROBES, start_probes};
 use super::offers;
-use super::rate_limits::{AnswerKind, probe_answer_kind};
 use super::state::Gateway;
 use super::store::Platform;
-use super::upstream_client::{ListenState, UpstreamClient, evidence_of};
-use crate::decision::directory::Upstream;
+use super::upstream_client::UpstreamClient;
 use crate::decision::ejection::Evidence;
 use crate::decision::upstream_contact::{ContactEvidence, SILENCE_MS, UpstreamContact};
 
@@ -23,14 +22,9 @@
 const PROBES_PER_CHECK: usize = 2;
 /// Upstreams that the first check probes: more, since its result changes what is done.
 const PROBES_IN_DOUBT: usize = 4;
-/// Interval between checks while this instance is cut off: 13 probes a second.
+/// Interval between checks while this instance is cut off: 13 probes a second on new
+/// connections, and as many on kept ones while there are any.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
-/// Timeout of a check's probe; a packet that is lost is sent again after 200 ms.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(450);
-/// Time in which one of the probes of a check must be answered; a first packet that is
-/// lost is sent again within it, and busy machines answer within it.
-const CHECK_WAIT: Duration = Duration::from_millis(250);
-
 /// Wait for the result of a check that another attempt began just before.
 const VERDICT_WAIT: Duration = Duration::from_millis(250 + SILENCE_MS);
 
@@ -43,6 +37,9 @@
     is_cut_off: watch::Sender<bool>,
     /// Changes with each answer.
     answered: watch::Sender<()>,
+    late_probes: Semaphore,
+    /// Whether checks of kept connections have not been answered since the doubt began.
+    is_kept_silent: AtomicBool,
 }
 
 impl Default for ContactState {
@@ -52,6 +49,8 @@
             doubted: Notify::new(),
             is_cut_off: watch::Sender::new(false),
             answered: watch::Sender::new(()),
+            late_probes: Semaphore::new(MAX_LATE_PROBES),
+            is_kept_silent: AtomicBool::new(false),
         }
     }
 }
@@ -97,6 +96,17 @@
         has_answered()
     }
 
+    /// Permits for probes that wait on for a late answer.
+    #[must_use]
+    pub fn late_probes(&self) -> &Semaphore {
+        &self.late_probes
+    }
+
+    /// Records whether checks of kept connections are without an answer.
+    pub fn set_kept_silent(&self, is_silent: bool) {
+        self.is_kept_silent.store(is_silent, Ordering::Relaxed);
+    }
+
     /// Has the links checked, unless an upstream has answered meanwhile.
     pub fn check(&self) {
         self.doubted.notify_one();
@@ -112,17 +122,27 @@
             return;
         };
         // These connections lead over lost links, and would hang for a while.
-        self.upstream_clients.close_idle();
+        let closes_kept = self.contact.is_kept_silent.swap(false, Ordering::Relaxed);
+        if closes_kept {
+            self.upstream_clients.close_idle();
+        }
         self.contact.is_cut_off.send_replace(false);
         self.metrics.cut_off.set(0);
         tracing::info!(
             upstream,
             held_ms = evidence.held_ms,
             no_answer_ms = evidence.no_answer_ms,
+            closes_kept,
             "links to upstreams are back: an upstream answered"
         );
     }
 
+    /// Records the time of a probe that has just been answered.
+    pub fn on_probe_time(&self, sent_at: Instant) {
+        let took_ms = to_ms(sent_at.elapsed());
+        self.contact.decision().on_probe_time(took_ms);
+    }
+
     /// Records that an upstream has not answered a probe in time, or cannot be reached.
     pub fn on_upstream_silent(&self, client: &UpstreamClient) {
         let known = self.view().directory.len();
@@ -168,7 +188,8 @@
         !has_answer && self.contact.is_cut_off()
     }
 
-    fn begin_cut_off(&self, evidence: ContactEvidence) {
+    /// Begins the belief that no upstream answers this instance.
+    pub fn begin_cut_off(&self, evidence: ContactEvidence) {
         let answers = self.contact.decision().answers();
         self.upstream_clients.restore_ejections(answers);
         self.contact.is_cut_off.send_replace(true);
@@ -206,8 +227,11 @@
     } else {
         PROBES_PER_CHECK
     };
+    gateway.contact.set_kept_silent(false);
     start_probes(gateway, count);
-    if timeout(CHECK_WAIT, answered.changed()).await.is_ok() {
+    let wait_ms = gateway.contact.decision().check_wait_ms();
+    let wait = Duration::from_millis(wait_ms);
+    if timeout(wait, answered.changed()).await.is_ok() {
         return;
     }
     let known = gateway.view().directory.len();
@@ -220,92 +244,3 @@
         gateway.begin_cut_off(evidence);
     }
 }
-
-/// Probes a few random upstreams on new connections, at first those that have not failed.
-///
-/// Limited, cold and draining ones are not to be asked for this. If there are no others, a
-/// connection that one of them accepts shows that the links work.
-fn start_probes<P: Platform>(gateway: &Arc<Gateway<P>>, count: usize) {
-    let Some(manifest) = gateway.manifest() else {
-        return;
-    };
-    let now_ms = gateway.now_ms();
-    let mut known: Vec<(Arc<Upstream>, Arc<str>)> = Vec::new();
-    let mut limited: Vec<Arc<Upstream>> = Vec::new();
-    for (service, spec) in &manifest.services {
-        for upstream in gateway.eligible_upstreams(service) {
-            if gateway.limit_of(&upstream.report).is_some() || upstream.cold_until_ms > now_ms {
-                limited.push(upstream);
-            } else {
-                known.push((upstream, Arc::clone(&spec.health_path)));
-            }
-        }
-    }
-    if known.is_empty() {
-        limited.shuffle(&mut rand::rng());
-        for upstream in limited.into_iter().take(count) {
-            let client = gateway.upstream_clients.get(&upstream.report);
-            tokio::spawn(check_connection(Arc::clone(gateway), client));
-        }
-        return;
-    }
-    known.shuffle(&mut rand::rng());
-    {
-        let contact = gateway.contact.decision();
-        known.sort_by_key(|(upstream, _)| contact.has_failed(&upstream.report.id));
-    }
-    let mut services: Vec<Arc<str>> = Vec::with_capacity(count);
-    let mut later = Vec::new();
-    let mut drawn = Vec::with_capacity(count);
-    // Different services first: the upstreams of one may all be down.
-    for entry in known {
-        let service = &entry.0.report.service;
-        if services.contains(service) {
-            later.push(entry);
-        } else {
-            services.push(Arc::clone(service));
-            drawn.push(entry);
-        }
-    }
-    drawn.append(&mut later);
-    drawn.truncate(count);
-    for (upstream, health_path) in drawn {
-        let client = gateway.upstream_clients.get(&upstream.report);
-        tokio::spawn(check_upstream(Arc::clone(gateway), client, health_path));
-    }
-}
-
-async fn check_connection<P: Platform>(gateway: Arc<Gateway<P>>, client: Arc<UpstreamClient>) {
-    if client.check_accepts(&gateway.metrics).await == ListenState::Accepted {
-        gateway.on_upstream_answer(&client.id);
-    } else {
-        gateway.on_upstream_silent(&client);
-    }
-}
-
-async fn check_upstream<P: Platform>(
-    gateway: Arc<Gateway<P>>,
-    client: Arc<UpstreamClient>,
-    health_path: Arc<str>,
-) {
-    let sent_at = Instant::now();
-    let names = gateway.platform.headers();
-    let probe = client.probe_on_new(names, &health_path, &gateway.metrics);
-    let Ok(probed) = timeout(CHECK_TIMEOUT, probe).await else {
-        return gateway.on_upstream_silent(&client);
-    };
-    match probed {
-        Ok(probed) => {
-            gateway.on_upstream_answer(&client.id);
-            let limit = probed.named_limit;
-            gateway.on_named_limit(&client, limit, sent_at, AnswerKind::Probe);
-            let kind = probe_answer_kind(&probed.reading);
-            gateway.on_notice(&client, probed.notice, sent_at, kind);
-            client.release(probed.connection);
-        }
-        Err(error) => {
-            gateway.metrics.probes_failed.inc();
-            gateway.on_upstream_failure(&client, evidence_of(&error), sent_at);
-        }
-    }
-}
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -15,7 +15,7 @@
 use super::fake::{
     FakePlatform, FakeStore, TestInstance, call, own_address, route, settings, within,
 };
-use super::links::{LinkState, Links};
+use super::links::{LinkState, Links, SLOW_TO_OPEN};
 use super::upstream::{Behaviour, FakeUpstream};
 
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -304,6 +304,103 @@
     }
 }
 
+impl Fleet {
+    fn set_links(&self, state: LinkState) {
+        for links in &self.links {
+            links.set(state);
+        }
+    }
+
+    fn is_any_cut_off(&self) -> bool {
+        let mut instances = self.instances.iter();
+        instances.any(|instance| instance.gateway.contact.is_cut_off())
+    }
+
+    /// Sends a request at each instance in turn, and returns those that were not served.
+    async fn count_unserved(&self, rounds: usize) -> usize {
+        let mut unserved = 0;
+        for _ in 0..rounds {
+            for number in 0..self.instances.len() {
+                let outcome = self.send(number, &route()).await;
+                unserved += usize::from(outcome.status() != 200);
+            }
+        }
+        unserved
+    }
+}
+
+// Guards against slow new connections being taken for lost links, for as long as they are
+// slow, by all instances.
+#[gtest]
+#[tokio::test]
+async fn a_cut_ends_although_new_connections_are_slow_after_it() {
+    for state in [LinkState::Hanging, LinkState::Resetting] {
+        let fleet = Fleet::start(3, 4).await;
+        fleet.set_links(state);
+        for number in 0..3 {
+            fleet.send(number, &route()).await;
+        }
+        within(OBJECTIVE, "it is cut off", || fleet.is_any_cut_off()).await;
+
+        fleet.set_links(LinkState::SlowToOpen);
+        sleep(SLOW_TO_OPEN + OBJECTIVE).await;
+        let unserved = fleet.count_unserved(10).await;
+
+        expect_that!(unserved, eq(0), "{state:?}");
+        expect_that!(fleet.is_any_cut_off(), eq(false), "{state:?}");
+    }
+}
+
+// Guards against instances that try no kept connection while new ones are slow.
+#[gtest]
+#[tokio::test]
+async fn kept_connections_serve_while_new_ones_are_slow() {
+    let fleet = Fleet::start(3, 4).await;
+    fleet.count_unserved(5).await;
+    fleet.set_links(LinkState::SlowToOpen);
+
+    let unserved = fleet.count_unserved(20).await;
+
+    expect_that!(unserved, eq(0));
+    expect_that!(fleet.is_any_cut_off(), eq(false));
+}
+
+// Guards against a belief that slow answers never end, because each check gives up on them
+// and begins anew.
+#[gtest]
+#[tokio::test]
+async fn late_answers_end_the_belief() {
+    let fleet = Fleet::start(2, 4).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_probe_delay(SLOW_TO_OPEN);
+    }
+    let gateway = Arc::clone(fleet.gateway(0));
+    let request = call(&route(), "body");
+    let sent = tokio::spawn(async move { forward(&gateway, &request).await });
+    let contact = &fleet.gateway(0).contact;
+    within(OBJECTIVE, "it is cut off", || contact.is_cut_off()).await;
+
+    let began = Instant::now();
+    within(SETTLE_TIMEOUT, "it ends", || !contact.is_cut_off()).await;
+
+    expect_that!(began.elapsed(), lt(SLOW_TO_OPEN + OBJECTIVE));
+    sent.await.unwrap();
+}
+
+// Guards against requests that are refused because answers are slow.
+#[gtest]
+#[tokio::test]
+async fn requests_are_served_while_all_answers_are_slow() {
+    let fleet = Fleet::start(3, 4).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_probe_delay(Duration::from_millis(200));
+    }
+
+    let unserved = fleet.count_unserved(5).await;
+
+    expect_that!(unserved, eq(0));
+}
+
 // Guards against a receiver that stood still running a request whose time has passed.
 #[gtest]
 #[tokio::test]
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -8,6 +8,7 @@
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// What happens to an instance's connections to upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,8 +19,19 @@
     Hanging,
     /// They are reset, new ones at once.
     Resetting,
+    /// Open connections work; what is sent on new ones arrives after [`SLOW_TO_OPEN`].
+    SlowToOpen,
 }
 
+impl LinkState {
+    fn is_cut(self) -> bool {
+        matches!(self, Self::Hanging | Self::Resetting)
+    }
+}
+
+/// Delay of new connections, longer than any wait of a request for a probe.
+pub const SLOW_TO_OPEN: Duration = Duration::from_millis(600);
+
 /// A proxy before each upstream, for one instance.
 #[derive(Debug)]
 pub struct Links {
@@ -74,14 +86,17 @@
                     return;
                 }
             }
-            LinkState::Up => {
+            LinkState::Up | LinkState::SlowToOpen => {
                 if far.is_none() {
+                    if now == LinkState::SlowToOpen {
+                        sleep(SLOW_TO_OPEN).await;
+                    }
                     far = TcpStream::connect(upstream).await.ok();
                 }
                 let Some(far) = far.as_mut() else { return };
                 tokio::select! {
                     _ = copy_bidirectional(&mut near, far) => return,
-                    changed = state.changed() => if changed.is_err() { return },
+                    changed = state.wait_for(|state| state.is_cut()) => if changed.is_err() { return },
                 }
             }
         }
--- a/tests/upstream_contact.rs
+++ b/tests/upstream_contact.rs
@@ -95,3 +95,49 @@
         some(anything())
     );
 }
+
+/// Time in which a check must be answered while upstreams are fast, and at most.
+const SHORTEST_WAIT_MS: u64 = 250;
+const LONGEST_WAIT_MS: u64 = 1_000;
+
+// Guards against a belief that begins anew at each check while all upstreams are slow.
+#[gtest]
+fn checks_wait_longer_while_all_probes_are_slow() {
+    let mut contact = UpstreamContact::default();
+    let at_first = contact.check_wait_ms();
+
+    for _ in 0..3 {
+        contact.on_probe_time(600);
+    }
+
+    expect_that!(at_first, eq(SHORTEST_WAIT_MS));
+    expect_that!(contact.check_wait_ms(), all!(gt(600), le(LONGEST_WAIT_MS)));
+}
+
+// Guards against a cut that is known late because answers of the one before were late.
+#[gtest]
+fn one_fast_probe_makes_the_checks_short_again() {
+    let mut contact = UpstreamContact::default();
+    for _ in 0..10 {
+        contact.on_probe_time(3_000);
+    }
+    let while_slow = contact.check_wait_ms();
+
+    contact.on_probe_time(2);
+
+    expect_that!(while_slow, eq(LONGEST_WAIT_MS));
+    expect_that!(contact.check_wait_ms(), eq(SHORTEST_WAIT_MS));
+}
+
+// Guards against requests refused at once by an instance that was idle before its check.
+#[gtest]
+fn a_young_belief_is_not_certain_however_old_the_last_answer_is() {
+    let mut contact = failed(3);
+    let begun_ms = START_MS + 60_000;
+    contact.try_begin(begun_ms - SILENCE_MS, KNOWN, begun_ms);
+
+    expect_that!(contact.is_certain(begun_ms + 100), eq(false));
+    expect_that!(contact.is_certain(begun_ms + 750), eq(true));
+    contact.on_answer(begun_ms + 751);
+    expect_that!(contact.is_certain(begun_ms + 752), eq(false));
+}
