Send handed requests on no connection that has ended; play faults between instances

What callers saw: after a reset of the connections between instances, the next request of a cut-off instance to each receiver ended with 502, though it was never sent; one that may run again took an attempt and a retry for it, and failed if the next receiver's connection had ended, too.

Cause: an ended connection stayed the kept one until the next call for an offer, up to 150 ms later, and a call on it fails like one that was sent. The client now knows that its connection has ended, and `Peers::connected` opens another one.

Evidence: hop_faults, with a proxy before each receiver. On the code without the change a_request_after_a_reset_is_sent_on_a_new_connection failed: "Value of: served, Expected: is equal to 10, Actual: 1"; with it 10 of 10. A request whose connection ends between the look and the call still ends with 502: that it was not sent is not proved.

Held before the change as well: a reset before the request is read, while it runs, and before and within its answer (502, run at most once, the run is ended); a hop that hangs in either direction or both (504 at the deadline, not run when the hop is back; requests that may run again are served on another connection); four requests on a connection that is reset; a receiver that is frozen beyond the deadline, restarted, or full; a caller that leaves while the hop hangs.

Ruled out: a proxy between gateways in the soak. A gateway finds its own record by its peer address, which is also the one where it listens; behind a proxy it would take itself for another instance. In these tests a receiver does so, which has no part in a hop: one that is not cut off asks nobody for offers.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -71,8 +71,9 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<PeerClient, RelayError> {
-        if let Some(client) = self.clients().get(&address) {
-            return Ok(client.clone());
+        let kept = self.clients().get(&address).cloned();
+        if let Some(client) = kept.filter(|client| !client.has_ended()) {
+            return Ok(client);
         }
         let client = timeout(limit, PeerClient::connect(address))
             .await
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -225,6 +225,8 @@
     pub store: Arc<FakeStore>,
     names: HeaderNames,
     links: Arc<Links>,
+    /// Where other instances reach this one, if not at its own address.
+    announced: Option<SocketAddr>,
 }
 
 impl FakePlatform {
@@ -232,6 +234,7 @@
         Self {
             store: Arc::clone(store),
             links: Links::new(),
+            announced: None,
             names: HeaderNames {
                 request_id: HeaderName::from_static("t-id"),
                 deadline_ms: HeaderName::from_static("t-deadline-ms"),
@@ -254,6 +257,15 @@
             ..self
         }
     }
+
+    /// Registers the instance at another address, that of a proxy before it. The instance
+    /// itself reads it, too, and may call itself there.
+    pub fn announced_at(self, address: SocketAddr) -> Self {
+        Self {
+            announced: Some(address),
+            ..self
+        }
+    }
 }
 
 impl Platform for FakePlatform {
@@ -327,7 +339,12 @@
         let limit = Duration::from_millis(800);
         self.store.simulate_call(Stream::Instances, limit).await?;
         let text = value.map(|value| std::str::from_utf8(value).unwrap());
-        self.store.write(Stream::Instances, key, text);
+        let announced = self.announced.zip(text).map(|(address, text)| {
+            let (_, data_centre) = text.split_once(' ').unwrap();
+            format!("{address} {data_centre}")
+        });
+        self.store
+            .write(Stream::Instances, key, announced.as_deref().or(text));
         Ok(())
     }
 
--- /dev/null
+++ b/tests/gateway/hop_faults.rs
@@ -0,0 +1,397 @@
+//! Faults of the connections between instances, while requests are handed over. Instances
+//! and upstreams talk over loopback, so these tests run on the real clock.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::forward::forward;
+use chicorywing::gateway::outcome::Outcome;
+use chicorywing::gateway::settings::Settings;
+use chicorywing::gateway::store::Stream;
+use googletest::prelude::*;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use super::fake::{
+    FakePlatform, FakeStore, TestInstance, call, own_address, route, settings, within,
+};
+use super::hop::{Hop, HopFault};
+use super::links::{LinkState, Links};
+use super::upstream::{Behaviour, FakeUpstream};
+
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which an upstream serves, unless a test needs it to be at work.
+const WORK: Duration = Duration::from_millis(5);
+/// Time for which an upstream is at work while a hop fails.
+const LONG_WORK: Duration = Duration::from_millis(300);
+/// Time in which bytes pass a proxy that does not hold them.
+const PASS_TIME: Duration = Duration::from_millis(50);
+/// Time of a route, in milliseconds.
+const TIMEOUT_MS: u64 = 600;
+/// Time within which the end of a deadline or of a connection is noticed.
+const LATE_BY: Duration = Duration::from_millis(200);
+/// Requests that are in flight at the same time; the retry budget has room for all.
+const AT_ONCE: usize = 4;
+/// Requests that one instance runs for others at a time.
+const MAX_TAKEN: usize = 256;
+
+/// The first instance is cut off and hands its requests to the others, each behind a proxy.
+struct Fleet {
+    store: Arc<FakeStore>,
+    instances: Vec<TestInstance>,
+    settings: Vec<Settings>,
+    hops: Vec<Arc<Hop>>,
+    upstreams: Vec<FakeUpstream>,
+}
+
+impl Fleet {
+    async fn start(receivers: usize) -> Self {
+        let store = FakeStore::new();
+        let links = Links::new();
+        let mut upstreams = Vec::new();
+        for number in 0..4 {
+            let id = format!("up-{number}");
+            let upstream = FakeUpstream::start(&id, Behaviour::Serve(WORK)).await;
+            let report = format!("ready {}", upstream.address);
+            store.write(Stream::Upstreams, &id, Some(&report));
+            links.add(upstream.address).await;
+            upstreams.push(upstream);
+        }
+        store.write(Stream::Operator, "config", Some("1"));
+        let mut fleet = Self {
+            store,
+            instances: Vec::new(),
+            settings: Vec::new(),
+            hops: Vec::new(),
+            upstreams,
+        };
+        let mut seeds = Vec::new();
+        for number in 0..=receivers {
+            let address = own_address();
+            let settings = settings(&format!("gate-{number}"), address, &seeds);
+            let mut platform = FakePlatform::new(&fleet.store);
+            if number == 0 {
+                platform = platform.with_links(&links);
+            } else {
+                let hop = Hop::start(address).await;
+                platform = platform.announced_at(hop.address);
+                fleet.hops.push(hop);
+            }
+            let instance = TestInstance::start_with(platform, settings.clone()).await;
+            fleet.instances.push(instance);
+            fleet.settings.push(settings);
+            seeds.push(address);
+        }
+        let all_know_all = || {
+            fleet.instances.iter().all(|instance| {
+                let view = instance.gateway.view();
+                let knows_all = view.instances.len() > receivers && view.directory.len() == 4;
+                drop(view);
+                knows_all && instance.gateway.is_ready()
+            })
+        };
+        within(SETTLE_TIMEOUT, "all know all", all_know_all).await;
+        links.set(LinkState::Hanging);
+        fleet.send(&route()).await.unwrap();
+        fleet.settle(receivers).await;
+        fleet
+    }
+
+    /// Waits until the first instance is cut off and knows offers of all receivers.
+    async fn settle(&self, receivers: usize) {
+        let gateway = &self.instances[0].gateway;
+        let hops = || self.hops.iter().map(|hop| hop.address);
+        within(SETTLE_TIMEOUT, "offers are known", || {
+            let willing = gateway.offers.willing();
+            let known = hops().filter(|hop| willing.contains(hop)).count();
+            gateway.contact.is_cut_off() && known == receivers
+        })
+        .await;
+    }
+
+    /// Sends a request at the instance that is cut off.
+    fn send(&self, route: &Route) -> JoinHandle<Outcome> {
+        let gateway = Arc::clone(&self.instances[0].gateway);
+        let request = call(route, "body");
+        tokio::spawn(async move { forward(&gateway, &request).await })
+    }
+
+    fn set_hops(&self, fault: HopFault) {
+        for hop in &self.hops {
+            hop.set(fault);
+        }
+    }
+
+    fn set_open_hops(&self, fault: HopFault) {
+        for hop in &self.hops {
+            hop.set_open(fault);
+        }
+    }
+
+    fn set_behaviour(&self, behaviour: Behaviour) {
+        for upstream in &self.upstreams {
+            upstream.set_behaviour(behaviour);
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.upstreams.iter().map(|one| one.runs().len()).sum()
+    }
+
+    fn disconnects(&self) -> usize {
+        self.upstreams.iter().map(FakeUpstream::disconnects).sum()
+    }
+
+    async fn until_runs(&self, count: usize) {
+        within(SETTLE_TIMEOUT, "it runs", || self.runs() >= count).await;
+    }
+
+    async fn until_disconnects(&self, count: usize) {
+        let has_ended = || self.disconnects() >= count;
+        within(SETTLE_TIMEOUT, "the run ends", has_ended).await;
+    }
+}
+
+fn once_route() -> Route {
+    Route {
+        is_idempotent: false,
+        timeout_ms: TIMEOUT_MS,
+        ..route()
+    }
+}
+
+// Guards against requests that fail, though they were never sent, on a connection that was
+// reset before.
+#[gtest]
+#[tokio::test]
+async fn a_request_after_a_reset_is_sent_on_a_new_connection() {
+    let fleet = Fleet::start(2).await;
+
+    let mut served = 0;
+    for _ in 0..10 {
+        fleet.set_open_hops(HopFault::Reset);
+        sleep(PASS_TIME / 5).await;
+        let outcome = fleet.send(&once_route()).await.unwrap();
+        served += usize::from(outcome.status() == 200);
+        fleet.settle(2).await;
+    }
+
+    expect_that!(served, eq(10));
+}
+
+// Guards against a request that runs though its connection was reset before it was read, or
+// is said not to have run.
+#[gtest]
+#[tokio::test]
+async fn a_request_reset_before_it_is_read_has_an_unknown_end() {
+    let fleet = Fleet::start(1).await;
+    let runs = fleet.runs();
+
+    fleet.set_open_hops(HopFault::HoldRequests);
+    let sent = fleet.send(&once_route());
+    sleep(PASS_TIME).await;
+    fleet.set_open_hops(HopFault::Reset);
+    let outcome = sent.await.unwrap();
+
+    expect_that!(outcome.status().as_u16(), eq(502));
+    expect_that!(fleet.runs(), eq(runs));
+}
+
+// Guards against a run that goes on, or is done again, after a reset.
+#[gtest]
+#[tokio::test]
+async fn a_reset_ends_the_run_behind_the_hop_and_it_is_not_done_again() {
+    let fleet = Fleet::start(2).await;
+    fleet.set_behaviour(Behaviour::Hang);
+    let (runs, disconnects) = (fleet.runs(), fleet.disconnects());
+
+    let sent = fleet.send(&once_route());
+    fleet.until_runs(runs + 1).await;
+    fleet.set_open_hops(HopFault::Reset);
+    let began = Instant::now();
+    let outcome = sent.await.unwrap();
+    fleet.until_disconnects(disconnects + 1).await;
+
+    expect_that!(began.elapsed(), le(LATE_BY));
+    expect_that!(outcome.status().as_u16(), eq(502));
+    expect_that!(fleet.runs(), eq(runs + 1));
+}
+
+// Guards against a request that is refused, or done again, though it has run.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_answer_is_lost_ran_once_and_is_not_refused() {
+    for fault in [HopFault::HoldAnswers, HopFault::ResetInAnswer] {
+        let fleet = Fleet::start(2).await;
+        let runs = fleet.runs();
+
+        fleet.set_open_hops(fault);
+        let sent = fleet.send(&once_route());
+        fleet.until_runs(runs + 1).await;
+        sleep(PASS_TIME).await;
+        fleet.set_open_hops(HopFault::Reset);
+        let outcome = sent.await.unwrap();
+
+        expect_that!(outcome.status().as_u16(), eq(502), "{fault:?}");
+        expect_that!(fleet.runs(), eq(runs + 1), "{fault:?}");
+    }
+}
+
+// Guards against a hop that hangs keeping a request beyond its deadline, or delivering it
+// after that.
+#[gtest]
+#[tokio::test]
+async fn a_request_on_a_hop_that_hangs_ends_at_its_deadline_and_never_runs_later() {
+    for (fault, expected_runs) in [
+        (HopFault::HoldRequests, 0),
+        (HopFault::HoldAnswers, 1),
+        (HopFault::HoldAll, 0),
+    ] {
+        let fleet = Fleet::start(1).await;
+        let runs = fleet.runs();
+
+        fleet.set_hops(fault);
+        let began = Instant::now();
+        let outcome = fleet.send(&once_route()).await.unwrap();
+        let took = began.elapsed();
+        fleet.set_hops(HopFault::None);
+        sleep(LONG_WORK).await;
+
+        expect_that!(outcome.status().as_u16(), eq(504), "{fault:?}");
+        expect_that!(
+            took,
+            le(Duration::from_millis(TIMEOUT_MS) + LATE_BY),
+            "{fault:?}"
+        );
+        expect_that!(fleet.runs(), eq(runs + expected_runs), "{fault:?}");
+    }
+}
+
+// Guards against requests of one connection that share its end: some lost, some run twice,
+// or one that gets the answer of another.
+#[gtest]
+#[tokio::test]
+async fn requests_on_a_connection_that_is_reset_run_once_unless_they_may_run_again() {
+    for (route, status, max_runs) in [(once_route(), 502, 1), (route(), 200, 2)] {
+        let fleet = Fleet::start(1).await;
+        fleet.set_behaviour(Behaviour::Serve(LONG_WORK));
+        let runs = fleet.runs();
+
+        let sent: Vec<_> = (0..AT_ONCE).map(|_| fleet.send(&route)).collect();
+        fleet.until_runs(runs + AT_ONCE).await;
+        fleet.set_open_hops(HopFault::Reset);
+        for one in sent {
+            let outcome = one.await.unwrap();
+            expect_that!(outcome.status().as_u16(), eq(status), "{outcome:?}");
+        }
+
+        expect_that!(fleet.runs(), le(runs + AT_ONCE * max_runs));
+    }
+}
+
+// Guards against attempts beyond those of the route, and requests that fail though there is
+// time for another connection, if open ones hang.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_may_run_again_is_served_in_time_if_open_hops_hang() {
+    for fault in [
+        HopFault::HoldRequests,
+        HopFault::HoldAnswers,
+        HopFault::HoldAll,
+    ] {
+        let fleet = Fleet::start(2).await;
+        let runs = fleet.runs();
+
+        fleet.set_open_hops(fault);
+        let outcome = fleet.send(&route()).await.unwrap();
+
+        expect_that!(outcome.status().as_u16(), eq(200), "{fault:?}");
+        expect_that!(fleet.runs(), le(runs + 2), "{fault:?}");
+    }
+}
+
+// Guards against a receiver that was frozen running a request after its caller's deadline.
+#[gtest]
+#[tokio::test]
+async fn a_receiver_that_thaws_after_the_deadline_does_not_run_the_request() {
+    let fleet = Fleet::start(1).await;
+    let runs = fleet.runs();
+
+    fleet.instances[1].stand_still(Duration::from_millis(TIMEOUT_MS) + LATE_BY);
+    sleep(PASS_TIME).await;
+    let outcome = fleet.send(&once_route()).await.unwrap();
+    sleep(LATE_BY + LONG_WORK).await;
+
+    expect_that!(outcome.status().as_u16(), any![eq(503), eq(504)]);
+    expect_that!(fleet.runs(), eq(runs));
+}
+
+// Guards against a request that is lost twice, or not served any more, because its receiver
+// was restarted.
+#[gtest]
+#[tokio::test]
+async fn requests_are_served_again_once_their_receiver_was_restarted() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.set_behaviour(Behaviour::Serve(LONG_WORK));
+    let runs = fleet.runs();
+
+    let sent = fleet.send(&once_route());
+    fleet.until_runs(runs + 1).await;
+    fleet.instances.pop();
+    let lost = sent.await.unwrap();
+    let platform = FakePlatform::new(&fleet.store).announced_at(fleet.hops[0].address);
+    let again = TestInstance::start_with(platform, fleet.settings[1].clone()).await;
+    fleet.instances.push(again);
+    fleet.settle(1).await;
+    let outcome = fleet.send(&once_route()).await.unwrap();
+
+    expect_that!(lost.status().as_u16(), eq(502));
+    expect_that!(outcome.status().as_u16(), eq(200));
+    expect_that!(fleet.runs(), eq(runs + 2));
+}
+
+// Guards against a run that outlives its caller's deadline because the hop does not deliver
+// that the caller has left.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_run_at_its_deadline_if_the_hop_hangs() {
+    let fleet = Fleet::start(1).await;
+    fleet.set_behaviour(Behaviour::Hang);
+    let (runs, disconnects) = (fleet.runs(), fleet.disconnects());
+
+    let began = Instant::now();
+    let sent = fleet.send(&once_route());
+    fleet.until_runs(runs + 1).await;
+    fleet.set_hops(HopFault::HoldAll);
+    sent.abort();
+    fleet.until_disconnects(disconnects + 1).await;
+
+    let limit = Duration::from_millis(TIMEOUT_MS) + LATE_BY;
+    expect_that!(began.elapsed(), le(limit));
+    expect_that!(fleet.runs(), eq(runs + 1));
+}
+
+// Guards against a full receiver running more than its bound, or refusing what it runs.
+#[gtest]
+#[tokio::test]
+async fn requests_that_a_full_receiver_does_not_take_are_refused_as_not_run() {
+    let fleet = Fleet::start(1).await;
+    fleet.set_behaviour(Behaviour::Hang);
+    let runs = fleet.runs();
+
+    let route = Route {
+        is_idempotent: false,
+        ..route()
+    };
+    let sent: Vec<_> = (0..MAX_TAKEN + AT_ONCE)
+        .map(|_| fleet.send(&route))
+        .collect();
+    let mut refused = 0;
+    for one in sent {
+        refused += usize::from(one.await.unwrap().status() == 503);
+    }
+
+    expect_that!(refused, ge(AT_ONCE));
+    expect_that!(fleet.runs(), le(runs + MAX_TAKEN + AT_ONCE - refused));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod fake;
 mod follower;
 mod fragile;
+mod hop;
+mod hop_faults;
 mod limited;
 mod links;
 mod outcomes;
