--- a/tests/gateway/hop_faults.rs
+++ b/tests/gateway/hop_faults.rs
@@ -372,6 +372,25 @@
     expect_that!(fleet.runs(), eq(runs + 1));
 }
 
+// Guards against a request that runs again because its response does not fit into an answer
+// between instances.
+#[gtest]
+#[tokio::test]
+async fn a_request_whose_response_is_too_large_for_the_hop_runs_once() {
+    let fleet = Fleet::start(2).await;
+    fleet.set_behaviour(Behaviour::ServeBytes(8 * 1024 * 1024));
+    let runs = fleet.runs();
+
+    let route = Route {
+        is_idempotent: false,
+        ..route()
+    };
+    let outcome = fleet.send(&route).await.unwrap();
+
+    expect_that!(outcome.status().as_u16(), eq(502));
+    expect_that!(fleet.runs(), eq(runs + 1));
+}
+
 // Guards against a full receiver running more than its bound, or refusing what it runs.
 #[gtest]
 #[tokio::test]
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -14,6 +14,8 @@
 pub enum Behaviour {
     /// Answers 200 after this delay.
     Serve(Duration),
+    /// Answers 200 with a body of this many bytes.
+    ServeBytes(usize),
     /// Answers 500.
     Fail,
     /// Answers that it did not run the request.
@@ -261,6 +263,9 @@
                 }
                 good
             }
+            Behaviour::ServeBytes(count) => good
+                .replace("length: 4", &format!("length: {count}"))
+                .replace("good", &"x".repeat(count)),
             Behaviour::Fail => format!(
                 "HTTP/1.1 500 Broken\r\n{id}t-stamp: {}\r\ncontent-length: 3\r\n\r\nbad",
                 self.id
