--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -250,6 +250,14 @@
         response_within(RESPONSE_TIMEOUT, request).await
     }
 
+    /// Checks that the peer responds on this connection, by a report of nothing.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn check(&self) -> Result<(), RelayError> {
+        self.report_suspects(Vec::new()).await
+    }
+
     /// Has the peer run a request; dropping the call cancels it there.
     ///
     /// # Errors
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -253,6 +253,8 @@
     /// Whether the store answers none of this gateway's calls.
     is_silent: watch::Sender<bool>,
     calls: AtomicUsize,
+    /// Where other instances reach this one, if not at its own address.
+    announced: Option<SocketAddr>,
 }
 
 impl FakePlatform {
@@ -262,6 +264,7 @@
             links: Links::new(),
             is_silent: watch::Sender::new(false),
             calls: AtomicUsize::new(0),
+            announced: None,
             names: HeaderNames {
                 request_id: HeaderName::from_static("t-id"),
                 deadline_ms: HeaderName::from_static("t-deadline-ms"),
@@ -312,6 +315,15 @@
             ..self
         }
     }
+
+    /// Registers the instance at another address, that of a proxy before it. The instance
+    /// itself reads it, too, and may call itself there.
+    pub fn announced_at(self, address: SocketAddr) -> Self {
+        Self {
+            announced: Some(address),
+            ..self
+        }
+    }
 }
 
 impl FakePlatform {
@@ -402,6 +414,11 @@
         let written = async {
             self.store.simulate_call(Stream::Instances, limit).await?;
             let text = value.map(|value| std::str::from_utf8(value).unwrap());
+            let announced = self.announced.zip(text).map(|(address, text)| {
+                let (_, data_centre) = text.split_once(' ').unwrap();
+                format!("{address} {data_centre}")
+            });
+            let text = announced.as_deref().or(text);
             self.store.write(Stream::Instances, key, text);
             Ok(())
         };
