--- a/tests/gateway/hop_faults.rs
+++ b/tests/gateway/hop_faults.rs
@@ -472,7 +472,6 @@
 
         let ends = fleet.send_through(fault, &once_route()).await;
 
-        println!("{fault:?}: {ends:?}");
         expect_that!(ends.refused, eq(0), "{fault:?}: {ends:?}");
         expect_that!(ends.unknown, le(ends.in_flight), "{fault:?}: {ends:?}");
         expect_that!(fleet.most_runs(), eq(1), "{fault:?}");
