CONFIG: reproduce versions that are late while readers are unanswered

Callers saw requests handled by an older version more than 2 s after a newer one was acknowledged, in two data centres at once.

--- a/tests/gateway/store_trials.rs
+++ b/tests/gateway/store_trials.rs
@@ -6,8 +6,9 @@
 
 use chicorywing::decision::rendezvous::weight;
 use chicorywing::gateway::store::Stream;
+use futures::future::join_all;
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::fake::{FakeStore, within};
 use super::reader_role::{BOUND, SETTLE_TIMEOUT, TestInstance, fleet};
@@ -58,6 +59,70 @@
     within(BOUND, "version 3 everywhere", is_known).await;
 }
 
+/// Time from new records of all streams until their long polls are the usual ones and the
+/// one of versions has just been checked, so that the silence of the store shows as late as
+/// it can.
+const CHECKED_TIME: Duration = Duration::from_millis(2_100);
+
+/// Silences the store for some of the instances, and checks that the next version is known
+/// to all within the bound.
+async fn expect_version_in_time(
+    store: &FakeStore,
+    instances: &[TestInstance],
+    is_served: impl Fn(usize, &TestInstance) -> bool,
+    what: &str,
+) {
+    store.write(Stream::Operator, "config", Some("2"));
+    store.write(Stream::Upstreams, "up-2", Some("ready"));
+    store.write(Stream::Instances, "other", Some("not an instance"));
+    let is_known = || instances.iter().all(|instance| instance.version() == 2);
+    let began = Instant::now();
+    within(BOUND, "version 2 everywhere", is_known).await;
+    sleep_until(began + CHECKED_TIME).await;
+
+    for (index, instance) in instances.iter().enumerate() {
+        let is_silent = !is_served(index, instance);
+        instance.gateway.platform.set_silent(is_silent);
+    }
+    store.write(Stream::Operator, "config", Some("3"));
+
+    let is_known = || instances.iter().all(|instance| instance.version() == 3);
+    within(BOUND, &format!("version 3 everywhere, {what}"), is_known).await;
+}
+
+// Guards against readers that poll each other while the store leaves both unanswered, so
+// that a version known in a third data centre reaches neither of theirs in time.
+#[gtest]
+#[tokio::test]
+async fn versions_are_known_in_all_data_centres_while_the_store_serves_one_reader() {
+    let layout = [("a", "u"), ("b", "v"), ("c", "w"), ("d", "x"), ("e", "y")];
+    let mut rounds = Vec::new();
+    for data_centres in 3..=layout.len() {
+        for served in 0..data_centres {
+            rounds.push(async move {
+                let store = FakeStore::new();
+                let instances = fleet(&store, &layout[..data_centres]).await;
+                let what = format!("{data_centres} data centres, number {served} served");
+                let is_served = |index, _: &TestInstance| index == served;
+                expect_version_in_time(&store, &instances, is_served, &what).await;
+            });
+        }
+    }
+    join_all(rounds).await;
+}
+
+// Guards against readers that find out only after the bound that the store leaves all of
+// them unanswered, while it serves the other instances.
+#[gtest]
+#[tokio::test]
+async fn versions_are_known_in_time_while_the_store_serves_all_but_the_readers() {
+    let store = FakeStore::new();
+    let instances = thirteen_instance_fleet(&store).await;
+
+    let is_served = |_, instance: &TestInstance| !instance.is_reader();
+    expect_version_in_time(&store, &instances, is_served, "no reader served").await;
+}
+
 // Guards against an instance that reads the store for all keeping the role after the
 // readers of the data centres are back.
 #[gtest]
