CONFIG: let the readers of the data centres follow each other in a ring

Callers saw requests handled by an older version in two of three data centres, more than 2 s after a newer one was acknowledged.

Cause: each reader polled the reader of one other data centre, picked by a hash of both names. Of three, two may pick each other. While the store leaves both unanswered, they wait for each other, and neither asks the third, which has the version within 10 ms. Now each polls the one that follows by name, so no group polls only itself; it costs the same one poll for each reader.

Evidence: store_trials::versions_are_known_in_all_data_centres... failed before ('3 data centres, number 0 served') and passes.

Considered: polling all other data centres (five polls for each reader at the target's size, and each record five times).

--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -3,13 +3,14 @@
 //!
 //! Calls to the store are limited and billed, so the other instances of a data
 //! centre fetch the records from its reader by long polls. Readers also poll
-//! each other across data centres, so that a reader without access to the store
-//! still receives new records at once. An instance whose reader times out reads
+//! each other across data centres, in a ring, so that a reader without access to
+//! the store still receives new records at once. An instance whose reader times out reads
 //! the store itself until it has found another reader; if the reader has lost
 //! the store, [`crate::decision::store_reader`] chooses which instance tries next.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -273,7 +274,7 @@
     let home = &*settings.data_centre;
     let own_weight = weight(home, &settings.name);
     let mut ranked_higher: Vec<(u64, SocketAddr)> = Vec::new();
-    let mut best_elsewhere: HashMap<&str, (u64, SocketAddr)> = HashMap::new();
+    let mut best_elsewhere: BTreeMap<&str, (u64, SocketAddr)> = BTreeMap::new();
     for (name, instance) in &view.instances {
         let (data_centre, address) = (&*instance.data_centre, instance.address);
         if address == settings.peer_address {
@@ -299,12 +300,7 @@
         StoreRole::Follower(rank) | StoreRole::FollowerWithoutStore(rank) => {
             Some(ranked_higher[rank].1)
         }
-        StoreRole::Reader => {
-            let next = best_elsewhere
-                .into_iter()
-                .max_by_key(|(data_centre, _)| weight(data_centre, home));
-            next.map(|(_, (_, address))| address)
-        }
+        StoreRole::Reader => next_in_ring(home, &best_elsewhere).map(|(_, address)| address),
     };
     RecordSource {
         is_reader: role == StoreRole::Reader,
@@ -312,3 +308,15 @@
         address,
     }
 }
+
+/// The entry of the data centre that follows `home` by name, or of the first one after the
+/// last.
+///
+/// In a ring no group of readers polls only each other, so what one of them has reaches
+/// all.
+fn next_in_ring<T: Copy>(home: &str, others: &BTreeMap<&str, T>) -> Option<T> {
+    let after_home = (Bound::Excluded(home), Bound::Unbounded);
+    let mut following = others.range::<str, _>(after_home);
+    let next = following.next().or_else(|| others.iter().next());
+    next.map(|(_, entry)| *entry)
+}
