Call instances of other builds in a format with names

Change: a connection begins with a greeting in which both sides list their formats and calls; format 1 is MessagePack with the names of methods, variants and fields.

--- a/src/gateway/handed.rs
+++ b/src/gateway/handed.rs
@@ -35,6 +35,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HandedRequest {
     /// The caller's request id, if it sent one.
+    #[serde(with = "serde_bytes")]
     pub id: Option<Vec<u8>>,
     /// The caller's method.
     pub method: String,
@@ -45,6 +46,7 @@
     /// Headers to forward.
     pub headers: Vec<(String, Vec<u8>)>,
     /// The whole body.
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
     /// Service that the caller's instance picked by the route's weights.
     pub service: Arc<str>,
@@ -87,6 +89,7 @@
         /// Its headers.
         headers: Vec<(String, Vec<u8>)>,
         /// The whole body.
+        #[serde(with = "serde_bytes")]
         body: Vec<u8>,
     },
     /// The receiver's own reason.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -9,9 +9,11 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::info::Info;
 use prometheus_client::registry::Registry;
 
 use super::outcome::Reason;
+use super::peer_format::{BUILD, Format};
 
 /// Upper bounds of the histogram buckets, in seconds.
 const TIME_BUCKETS_S: [f64; 12] = [
@@ -36,6 +38,13 @@
     pub end: EndLabel,
 }
 
+/// Label set of the gauges by format.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FormatLabels {
+    /// Value of the label `format`.
+    pub format: EndLabel,
+}
+
 type EndCounters = Family<EndLabels, Counter>;
 
 /// All metrics of the process.
@@ -46,6 +55,9 @@
     sends: EndCounters,
     send_permits: EndCounters,
     handed: EndCounters,
+    peers: Family<FormatLabels, Gauge<u64, AtomicU64>>,
+    /// Calls to other instances that were not made, since their builds do not know them.
+    pub unknown_calls: Counter,
     /// 1 while no upstream answers this instance, otherwise 0.
     pub cut_off: Gauge<u64, AtomicU64>,
     /// Requests of other instances that run here.
@@ -102,6 +114,8 @@
             sends: EndCounters::default(),
             send_permits: EndCounters::default(),
             handed: EndCounters::default(),
+            peers: Family::default(),
+            unknown_calls: Counter::default(),
             cut_off: Gauge::default(),
             taken: Gauge::default(),
             issued_limits: Gauge::default(),
@@ -156,6 +170,12 @@
         );
         let handed = self.handed.clone();
         registry.register("handed", "Requests handed over by how that ended", handed);
+        let build = Info::new([("version", BUILD)]);
+        registry.register("build", "Version of this build", build);
+        let peers = self.peers.clone();
+        registry.register("peers", "Instances by the format of calls to them", peers);
+        let unknown = self.unknown_calls.clone();
+        registry.register("unknown_calls", "Calls that another build lacks", unknown);
         let cut_off = self.cut_off.clone();
         registry.register("cut_off", "Whether no upstream answers", cut_off);
         let taken = self.taken.clone();
@@ -221,6 +241,15 @@
         count(&self.handed, end);
     }
 
+    /// Sets the number of instances that are called in a format.
+    pub fn set_peers(&self, format: Format, count: usize) {
+        let labels = FormatLabels {
+            format: EndLabel(format.name()),
+        };
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.peers.get_or_create(&labels).set(count);
+    }
+
     /// Counts a call to the store as answered or failed.
     pub fn on_store_call(&self, is_answered: bool) {
         count(
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -57,7 +57,8 @@
     /// No response came in time after the request was sent, so it may have run.
     Late,
     /// The upstream closed the connection or sent an invalid response; the request
-    /// may have run.
+    /// may have run. Also any reason of another instance that this build does not know.
+    #[serde(other)]
     UpstreamFailed,
 }
 
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
+use prometheus_client::metrics::counter::Counter;
 use tarpc::{client, context};
 use thiserror::Error;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::handed::{HandedAnswer, HandedRequest, Offer};
+use super::peer_builds::PeerBuilds;
+use super::peer_format::PeerBuild;
 use super::relay::{PermitResponse, RelayClient, STREAMS, StreamPosition};
 use super::send_permit::{PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
@@ -19,9 +20,9 @@
 use crate::decision::rate_limits::LimitReport;
 use crate::decision::upstream_notices::NoticeReport;
 
-/// Time in which a peer must accept a connection or, beyond the wait of a long
-/// poll, respond.
+/// Time in which a peer must respond, beyond the wait of a long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Why records could not be fetched from a peer.
 #[derive(Debug, Error)]
 pub enum RelayError {
@@ -34,6 +35,26 @@
     /// The connection or the response took too long.
     #[error("timed out")]
     Timeout,
+    /// The peer answers a greeting with something else.
+    #[error("its greeting is invalid: {0}")]
+    InvalidGreeting(std::io::Error),
+    /// The build of the peer speaks these formats only.
+    #[error("it speaks the formats {0:?}, none of which this build speaks")]
+    NoCommonFormat(Vec<u32>),
+    /// The build of the peer does not know the call, which was not made.
+    #[error("its build does not know the call {0}")]
+    UnknownCall(&'static str),
+}
+
+impl RelayError {
+    /// Whether the peer responds, but its build cannot be talked to.
+    #[must_use]
+    pub fn is_other_build(&self) -> bool {
+        matches!(
+            self,
+            Self::InvalidGreeting(_) | Self::NoCommonFormat(_) | Self::UnknownCall(_)
+        )
+    }
 }
 
 /// Why a request that was handed to a peer has no answer.
@@ -55,6 +76,8 @@
 pub struct PeerClient {
     client: RelayClient,
     address: SocketAddr,
+    build: PeerBuild,
+    unknown_calls: Counter,
     /// Position up to which the peer has told its suspects on this connection.
     suspects_position: u64,
     /// The same for its limits.
@@ -67,21 +90,15 @@
     /// Opens a connection.
     ///
     /// # Errors
-    /// Returns an error if the peer refuses the connection or does not accept it
-    /// in time.
-    pub async fn connect(address: SocketAddr) -> Result<Self, RelayError> {
-        let connect = tcp::connect(address, Bincode::default);
-        let transport = timeout(RESPONSE_TIMEOUT, connect)
-            .await
-            .map_err(|_| RelayError::Timeout)?
-            .map_err(RelayError::Unreachable)?;
-        // Otherwise a call may wait 40 ms for the acknowledgement of the last one.
-        let stream = transport.get_ref();
-        stream.set_nodelay(true).map_err(RelayError::Unreachable)?;
-        let client = RelayClient::new(client::Config::default(), transport).spawn();
+    /// Returns an error if the peer refuses the connection, does not accept it in time, or
+    /// its build speaks no format of this one.
+    pub async fn connect(builds: &PeerBuilds, address: SocketAddr) -> Result<Self, RelayError> {
+        let (client, build) = builds.open(address).await?;
         Ok(Self {
             client,
             address,
+            build,
+            unknown_calls: builds.unknown_calls.clone(),
             suspects_position: 0,
             limits_position: 0,
             notices_position: 0,
@@ -94,6 +111,15 @@
         self.address
     }
 
+    /// Refuses a call that the build of the peer does not know.
+    fn require(&self, call: &'static str) -> Result<(), RelayError> {
+        if self.build.knows(call) {
+            return Ok(());
+        }
+        self.unknown_calls.inc();
+        Err(RelayError::UnknownCall(call))
+    }
+
     /// Fetches the records that this instance lacks and applies them; returns
     /// whether the peer reads the store.
     ///
@@ -105,6 +131,7 @@
         gateway: &Gateway<P>,
         wait: Duration,
     ) -> Result<bool, RelayError> {
+        self.require("records")?;
         let positions = stream_positions(gateway);
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let request = self.client.records(
@@ -161,6 +188,7 @@
     /// # Errors
     /// Returns an error if the call fails.
     pub async fn announce_reader(&self, address: SocketAddr) -> Result<(), RelayError> {
+        self.require("announce_reader")?;
         let announced = self.client.announce_reader(context::current(), address);
         announced.await.map_err(RelayError::Call)
     }
@@ -170,6 +198,7 @@
     /// # Errors
     /// Returns an error if the call fails or the response does not arrive in time.
     pub async fn report_suspects(&self, reports: Vec<SuspectReport>) -> Result<(), RelayError> {
+        self.require("report_suspects")?;
         let request = self.client.report_suspects(context::current(), reports);
         response_within(RESPONSE_TIMEOUT, request).await
     }
@@ -185,6 +214,7 @@
         lifetime_ms: u64,
         report: Option<SuspectReport>,
     ) -> Result<PermitResponse, RelayError> {
+        self.require("acquire_run")?;
         let request =
             self.client
                 .acquire_run(context::current(), scope, token, lifetime_ms, report);
@@ -201,6 +231,7 @@
         reports: Vec<LimitReport>,
         digest: u64,
     ) -> Result<Vec<LimitReport>, RelayError> {
+        self.require("exchange_limits")?;
         let request = self
             .client
             .exchange_limits(context::current(), reports, digest);
@@ -217,6 +248,7 @@
         reports: Vec<NoticeReport>,
         digest: u64,
     ) -> Result<Option<Vec<NoticeReport>>, RelayError> {
+        self.require("exchange_notices")?;
         let request = self
             .client
             .exchange_notices(context::current(), reports, digest);
@@ -228,6 +260,7 @@
     /// # Errors
     /// Returns an error if the call fails.
     pub async fn acquire_send(&self, ask: PermitAsk) -> Result<PermitAnswer, RelayError> {
+        self.require("acquire_send")?;
         let request = self.client.acquire_send(context::current(), ask);
         response_within(RESPONSE_TIMEOUT, request).await
     }
@@ -237,6 +270,7 @@
     /// # Errors
     /// Returns an error if the call fails; the permit then expires.
     pub async fn return_send_permit(&self, returned: PermitReturn) -> Result<(), RelayError> {
+        self.require("return_send_permit")?;
         let request = self.client.return_send_permit(context::current(), returned);
         response_within(RESPONSE_TIMEOUT, request).await
     }
@@ -246,6 +280,7 @@
     /// # Errors
     /// Returns an error if the call fails or the response does not arrive in time.
     pub async fn offer(&self) -> Result<Offer, RelayError> {
+        self.require("offer")?;
         let request = self.client.offer(context::current());
         response_within(RESPONSE_TIMEOUT, request).await
     }
@@ -267,6 +302,7 @@
         request: HandedRequest,
         deadline: Instant,
     ) -> Result<HandedAnswer, HandError> {
+        self.require("run_handed").map_err(HandError::NotSent)?;
         let mut context = context::current();
         context.deadline = (deadline + RESPONSE_TIMEOUT).into_std();
         let call = self.client.run_handed(context, request);
@@ -291,6 +327,7 @@
         token: u64,
         report: Option<SuspectReport>,
     ) -> Result<(), RelayError> {
+        self.require("release_run")?;
         let request = self
             .client
             .release_run(context::current(), scope, token, report);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,8 +5,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::timeout;
 
+use super::peer_builds::PeerBuilds;
 use super::peer_client::{PeerClient, RelayError};
 use crate::decision::peer_contacts::PeerContacts;
 
@@ -18,9 +20,21 @@
 pub struct Peers {
     clients: Mutex<HashMap<SocketAddr, PeerClient>>,
     contacts: Mutex<PeerContacts>,
+    /// Builds of other instances, by which connections to them are opened.
+    pub builds: PeerBuilds,
 }
 
 impl Peers {
+    /// Creates clients of no instance yet; `unknown_calls` counts the calls that another
+    /// build lacks.
+    #[must_use]
+    pub fn new(unknown_calls: Counter) -> Self {
+        Self {
+            builds: PeerBuilds::new(unknown_calls),
+            ..Self::default()
+        }
+    }
+
     /// Locks what is known of who responds.
     pub fn contacts(&self) -> MutexGuard<'_, PeerContacts> {
         self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
@@ -51,7 +65,7 @@
         }
         let limit = limit.saturating_sub(limit / KEPT_DIVISOR);
         let fresh = async {
-            let client = PeerClient::connect(address).await?;
+            let client = PeerClient::connect(&self.builds, address).await?;
             let response = call(client.clone()).await?;
             Ok((client, response))
         };
@@ -81,6 +95,7 @@
     /// Closes kept connections to instances that are not registered any more.
     pub fn retain(&self, is_registered: impl Fn(&SocketAddr) -> bool) {
         self.clients().retain(|address, _| is_registered(address));
+        self.builds.retain(&is_registered);
         self.contacts().retain(is_registered);
     }
 
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -31,6 +31,8 @@
 pub const LONG_POLL_WAIT: Duration = Duration::from_secs(1);
 /// Time for which a peer that failed is not polled again.
 const SUSPECT_TIME: Duration = Duration::from_secs(4);
+/// The same for a peer whose build cannot be talked to; it may be replaced by another one.
+const OTHER_BUILD_TIME: Duration = Duration::from_secs(30);
 /// Time after which the peer is chosen again if there was none to poll; new
 /// records end it early.
 const NO_PEER_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -170,10 +172,15 @@
             }
             Ok(false) => {
                 let why = "it does not read the store";
-                follower.suspect(address, PeerState::StoreUnreachable, &why);
+                follower.suspect(address, PeerState::StoreUnreachable, SUSPECT_TIME, &why);
             }
             Err(error) => {
-                follower.suspect(address, PeerState::Unresponsive, &error);
+                let time = if error.is_other_build() {
+                    OTHER_BUILD_TIME
+                } else {
+                    SUSPECT_TIME
+                };
+                follower.suspect(address, PeerState::Unresponsive, time, &error);
                 if !source.is_reader {
                     gateway.set_reader_role(true, "the reader does not respond");
                 }
@@ -217,7 +224,7 @@
         let open = self.client.take().filter(|open| open.address() == address);
         let mut client = match open {
             Some(open) => open,
-            None => PeerClient::connect(address).await?,
+            None => PeerClient::connect(&gateway.peers.builds, address).await?,
         };
         let is_reader = client.fetch(gateway, wait).await?;
         self.client = Some(client);
@@ -234,10 +241,16 @@
         }
     }
 
-    fn suspect(&mut self, address: SocketAddr, peer_state: PeerState, why: &dyn std::fmt::Display) {
+    fn suspect(
+        &mut self,
+        address: SocketAddr,
+        peer_state: PeerState,
+        time: Duration,
+        why: &dyn std::fmt::Display,
+    ) {
         tracing::info!(%address, %why, "suspending polls of this instance");
         self.takeover = None;
-        let until = Instant::now() + SUSPECT_TIME;
+        let until = Instant::now() + time;
         self.suspects.insert(address, (peer_state, until));
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,13 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tarpc::context;
-use tarpc::serde_transport::tcp;
-use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::time::{Instant, timeout_at};
 
 use super::handed::{HandedAnswer, HandedRequest, Offer};
@@ -146,8 +142,10 @@
     async fn run_handed(request: HandedRequest) -> HandedAnswer;
 }
 
-struct Server<P> {
-    gateway: Arc<Gateway<P>>,
+/// Answers the calls of other instances.
+pub struct Server<P> {
+    /// The instance that answers.
+    pub gateway: Arc<Gateway<P>>,
 }
 
 impl<P> Clone for Server<P> {
@@ -337,45 +335,13 @@
     }
 }
 
-/// Serves [`Relay`] to other instances at the peer address, in the background.
-///
-/// # Errors
-/// Returns an error if the address cannot be bound.
-pub async fn listen<P: Platform>(gateway: Arc<Gateway<P>>) -> std::io::Result<()> {
-    let address = gateway.settings().peer_address;
-    let mut incoming = tcp::listen(address, Bincode::default).await?;
-    tokio::spawn(async move {
-        while let Some(accepted) = incoming.next().await {
-            let transport = match accepted {
-                Ok(transport) => transport,
-                Err(error) => {
-                    tracing::debug!(%error, "failed to accept a connection from another instance");
-                    continue;
-                }
-            };
-            if let Err(error) = transport.get_ref().set_nodelay(true) {
-                tracing::debug!(%error, "connection of another instance dropped");
-                continue;
-            }
-            let server = Server {
-                gateway: Arc::clone(&gateway),
-            };
-            let responses = BaseChannel::with_defaults(transport)
-                .execute(server.serve())
-                .for_each_concurrent(None, |response| response);
-            tokio::spawn(responses);
-        }
-    });
-    Ok(())
-}
-
 /// Fetches missing records from a random peer while the store is unreachable.
 pub async fn fetch_from_any_peer<P: Platform>(gateway: &Gateway<P>) {
     let Some(address) = pick_peer(gateway) else {
         return;
     };
     let fetched = async {
-        let mut client = PeerClient::connect(address).await?;
+        let mut client = PeerClient::connect(&gateway.peers.builds, address).await?;
         client.fetch(gateway, Duration::ZERO).await
     };
     if let Err(error) = fetched.await {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -10,14 +10,15 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::peer_format::{BUILD, Format};
 use super::server::{CallerCounts, MAX_BACKLOG_TIME, serve_callers, serve_metrics, serve_ready};
 use super::settings::Settings;
 use super::state::Gateway;
 use super::store::{Platform, Stream};
 use super::supervisor::keep_running;
 use super::{
-    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, reader_role, relay,
-    suspect_records, upstream_contact,
+    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, peer_listener,
+    reader_role, suspect_records, upstream_contact,
 };
 use crate::process::run::RunError;
 
@@ -94,7 +95,7 @@
     tokio::spawn(serve_metrics(metrics_listener, Arc::clone(&gateway)));
     start_background_tasks(&gateway);
     tokio::spawn(reload_settings(Arc::clone(&gateway), path, hang_up));
-    tracing::info!(name = %settings.name, data_centre = %settings.data_centre, "started");
+    tracing::info!(name = %settings.name, data_centre = %settings.data_centre, build = BUILD, "started");
 
     wait_for_stop_signal(terminate, interrupt).await;
     drain_and_stop(&gateway, &callers, &close).await;
@@ -109,7 +110,7 @@
 
 async fn listen_for_instances<P: Platform>(gateway: &Arc<Gateway<P>>) -> Result<(), RunError> {
     let address = gateway.settings().peer_address;
-    relay::listen(Arc::clone(gateway))
+    peer_listener::listen(Arc::clone(gateway))
         .await
         .map_err(|error| RunError::Bind { address, error })
 }
@@ -175,6 +176,10 @@
                 .into_iter()
                 .any(|instance| instance.address == *address)
         });
+        for format in [Format::Bincode, Format::Named(1)] {
+            let count = gateway.peers.builds.count(format);
+            gateway.metrics.set_peers(format, count);
+        }
         let issued = gateway.limits.permits().len();
         gateway
             .metrics
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -167,7 +167,9 @@
             }
             Err(error) => {
                 tracing::info!(%address, %error, "no response to a request for a run permit");
-                gateway.on_peer_call(address, false);
+                if !error.is_other_build() {
+                    gateway.on_peer_call(address, false);
+                }
             }
         }
     }
@@ -211,7 +213,7 @@
     issuer: SocketAddr,
 ) -> Result<bool, RelayError> {
     let report = gateway.suspect_report(scope.content());
-    let client = PeerClient::connect(issuer).await?;
+    let client = PeerClient::connect(&gateway.peers.builds, issuer).await?;
     let response = client
         .acquire_run(scope, token, lifetime_ms, report)
         .await?;
@@ -225,7 +227,7 @@
     issuer: SocketAddr,
 ) -> Result<(), RelayError> {
     let report = gateway.suspect_report(held.scope.content());
-    let client = PeerClient::connect(issuer).await?;
+    let client = PeerClient::connect(&gateway.peers.builds, issuer).await?;
     client.release_run(held.scope, held.token, report).await
 }
 
--- a/src/gateway/send_permit.rs
+++ b/src/gateway/send_permit.rs
@@ -231,7 +231,10 @@
         async move { client.acquire_send(ask).await }
     };
     let answer = gateway.peers.call(address, ISSUER_TIMEOUT, call).await;
-    gateway.on_peer_call(address, answer.is_ok());
+    let has_responded = answer
+        .as_ref()
+        .map_or_else(RelayError::is_other_build, |_| true);
+    gateway.on_peer_call(address, has_responded);
     answer
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -145,10 +145,12 @@
     pub fn with_probe_waits(platform: P, settings: Settings, probe_waits: ProbeWaits) -> Arc<Self> {
         let memory_bytes = settings.memory_limit_mb.saturating_mul(1 << 20);
         let body_bytes = usize::try_from(memory_bytes).unwrap_or(usize::MAX) / BODY_MEMORY_DIVISOR;
+        let metrics = Metrics::new();
+        let peers = Peers::new(metrics.unknown_calls.clone());
         Arc::new(Self {
             platform,
             settings: ArcSwap::from_pointee(settings),
-            metrics: Metrics::new(),
+            metrics,
             log_budget: LogBudget::new(),
             body_memory: BodyMemory::new(body_bytes),
             response_memory: ResponseMemory::new(body_bytes),
@@ -160,7 +162,7 @@
             operator_poll_missed_records: Notify::new(),
             operator_check_unanswered: Notify::new(),
             suspects: SuspectState::default(),
-            peers: Peers::default(),
+            peers,
             limits: LimitState::default(),
             notices: NoticeState::default(),
             contact: ContactState::default(),
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -36,6 +36,7 @@
     /// Name of the object that the record describes.
     pub key: Arc<str>,
     /// Encoded object; `None` deletes the key.
+    #[serde(with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
 }
 
--- a/src/gateway/store_trials.rs
+++ b/src/gateway/store_trials.rs
@@ -248,7 +248,7 @@
     search: &mut watch::Receiver<ReaderSearch>,
 ) {
     let fetched = async {
-        let mut client = PeerClient::connect(address).await?;
+        let mut client = PeerClient::connect(&gateway.peers.builds, address).await?;
         while wanted_reader(gateway) == Some(address) {
             if !client.fetch(gateway, LONG_POLL_WAIT).await? {
                 break;
--- a/tests/gateway/fake.rs
+++ b/tests/gateway/fake.rs
@@ -18,8 +18,8 @@
     HeaderNames, KeyedRecord, OperatorRecord, Platform, RecordError, Records, StoreError, Stream,
 };
 use chicorywing::gateway::{
-    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, reader_role, relay,
-    suspect_records, upstream_contact,
+    follower, limit_exchange, long_poll_checks, lost_records, notice_exchange, peer_listener,
+    reader_role, relay, suspect_records, upstream_contact,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::runtime::Runtime;
@@ -625,7 +625,7 @@
 
 async fn start_tasks(gateway: Arc<Gateway<FakePlatform>>) {
     // The previous process at this address may not have closed its listener yet.
-    while relay::listen(Arc::clone(&gateway)).await.is_err() {
+    while peer_listener::listen(Arc::clone(&gateway)).await.is_err() {
         sleep(Duration::from_millis(10)).await;
     }
     for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -7,10 +7,10 @@
 
 use chicorywing::gateway::follower;
 use chicorywing::gateway::long_poll_checks;
-use chicorywing::gateway::relay;
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
 use chicorywing::gateway::supervisor::keep_running;
+use chicorywing::gateway::{peer_listener, relay};
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
@@ -465,7 +465,7 @@
     let address = own_address();
     let peer = Gateway::new(FakePlatform::new(&store), settings("gate-1", address, &[]));
     follow_all(&peer);
-    relay::listen(Arc::clone(&peer)).await.unwrap();
+    peer_listener::listen(Arc::clone(&peer)).await.unwrap();
     within(RECOVERY_TIME, "the peer", || peer.is_ready()).await;
     let refusing = FakeStore::new();
     refusing.set_mode(Mode::Refusing);
--- a/tests/gateway/reader_role.rs
+++ b/tests/gateway/reader_role.rs
@@ -9,7 +9,7 @@
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::store::Stream;
 use chicorywing::gateway::view::Extent;
-use chicorywing::gateway::{follower, long_poll_checks, reader_role, relay};
+use chicorywing::gateway::{follower, long_poll_checks, peer_listener, reader_role};
 use googletest::prelude::*;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -44,7 +44,7 @@
             ..settings(name, address, &[])
         };
         let gateway = Gateway::new(FakePlatform::new(store), settings);
-        relay::listen(Arc::clone(&gateway)).await.unwrap();
+        peer_listener::listen(Arc::clone(&gateway)).await.unwrap();
         let mut tasks = Vec::new();
         for stream in [Stream::Operator, Stream::Upstreams, Stream::Instances] {
             let follow = follower::follow(Arc::clone(&gateway), stream);
--- a/tests/gateway/store_copy.rs
+++ b/tests/gateway/store_copy.rs
@@ -6,6 +6,7 @@
 
 use chicorywing::gateway::follower;
 use chicorywing::gateway::long_poll_checks;
+use chicorywing::gateway::peer_builds::PeerBuilds;
 use chicorywing::gateway::peer_client::PeerClient;
 use chicorywing::gateway::settings::Settings;
 use chicorywing::gateway::state::Gateway;
@@ -343,7 +344,9 @@
     let store = FakeStore::new();
     store.write(Stream::Upstreams, "up-1", Some("ready"));
     let gateway = gateway(&store);
-    let mut client = PeerClient::connect(address).await.unwrap();
+    let mut client = PeerClient::connect(&PeerBuilds::default(), address)
+        .await
+        .unwrap();
     // It is told the whole state of the era before, and then follows the store.
     client.fetch(&gateway, Duration::ZERO).await.unwrap();
     store.return_from_copy(Stream::Upstreams, 0);
@@ -409,7 +412,9 @@
     .await;
 
     let address = peer.gateway.settings().peer_address;
-    let mut client = PeerClient::connect(address).await.unwrap();
+    let mut client = PeerClient::connect(&PeerBuilds::default(), address)
+        .await
+        .unwrap();
     client.fetch(&gateway, Duration::ZERO).await.unwrap();
     store.write(Stream::Upstreams, "up-1", Some("draining"));
 
