--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::process::{Child, Command};
@@ -29,8 +29,54 @@
 /// Limit of the open file descriptors of a gateway.
 const MAX_DESCRIPTORS: usize = 1_000;
 
+/// Which starts of a gateway run the older build that `SOAK_OLD` names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+enum Builds {
+    /// Those of every second pair of gateways, so that each data centre has both builds.
+    Half,
+    /// The same, and the other build after each start.
+    Alternate,
+    /// The first start of each gateway.
+    Out,
+    /// All later starts.
+    Back,
+}
+
+impl Builds {
+    fn is_older(self, number: usize, starts: usize) -> bool {
+        let is_odd_pair = (number / DATA_CENTRES.len()) % 2 == 1;
+        match self {
+            Self::Half => is_odd_pair,
+            Self::Alternate => is_odd_pair == starts.is_multiple_of(2),
+            Self::Out => starts == 0,
+            Self::Back => starts > 0,
+        }
+    }
+}
+
+/// The program of a gateway's start: this build, or the older one.
+fn program(number: usize, starts: usize) -> PathBuf {
+    let this_build = PathBuf::from(env!("CARGO_BIN_EXE_chicorywing-gateway"));
+    let Ok(older_build) = std::env::var("SOAK_OLD") else {
+        return this_build;
+    };
+    let builds = std::env::var("SOAK_BUILDS").unwrap_or_else(|_| "half".to_owned());
+    let builds: Builds = builds
+        .parse()
+        .expect("SOAK_BUILDS is one of half, alternate, out and back");
+    if builds.is_older(number, starts) {
+        older_build.into()
+    } else {
+        this_build
+    }
+}
+
 #[derive(Debug)]
 pub struct Gateway {
+    number: usize,
+    /// Number of starts so far.
+    starts: AtomicUsize,
     pub caller_address: SocketAddr,
     pub ready_address: SocketAddr,
     /// Proxy between the gateway and the store.
@@ -75,6 +121,8 @@
             "probes_per_s": "60",
         });
         Self {
+            number,
+            starts: AtomicUsize::new(0),
             caller_address: address(CALLER_PORT),
             ready_address: address(READY_PORT),
             store_proxy,
@@ -110,7 +158,8 @@
             .append(true)
             .open(&self.log_file)
             .unwrap();
-        let started = Command::new(env!("CARGO_BIN_EXE_chicorywing-gateway"))
+        let starts = self.starts.fetch_add(1, Ordering::Relaxed);
+        let started = Command::new(program(self.number, starts))
             .arg("--settings")
             .arg(&self.settings_file)
             .stdout(Stdio::from(log.try_clone().unwrap()))
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,10 @@
 //! `SOAK_GATEWAYS` and `SOAK_CALLERS` set the size, `SOAK_AT_ONCE` the number of
 //! seeds that run in parallel. The logs of failed seeds are kept, and those of all with
 //! `SOAK_KEEP_LOGS`.
+//!
+//! `SOAK_OLD=PATH` runs the gateway of an older build beside this one; `SOAK_BUILDS` says which
+//! starts run it: `half` of the gateways, `alternate` at each start, or rolling the new one
+//! `out` or `back` as gateways are restarted.
 
 mod answers;
 mod balancer;
