--- a/tests/gateway/store_trials.rs
+++ b/tests/gateway/store_trials.rs
@@ -64,8 +64,8 @@
 /// it can.
 const CHECKED_TIME: Duration = Duration::from_millis(2_100);
 
-/// Silences the store for some of the instances, and checks that the next version is known
-/// to all within the bound.
+/// Silences the store for some of the instances, and checks that the next version and a
+/// drain are known to all within the bound.
 async fn expect_version_in_time(
     store: &FakeStore,
     instances: &[TestInstance],
@@ -85,9 +85,13 @@
         instance.gateway.platform.set_silent(is_silent);
     }
     store.write(Stream::Operator, "config", Some("3"));
+    store.write(Stream::Upstreams, "up-1", Some("draining"));
 
-    let is_known = || instances.iter().all(|instance| instance.version() == 3);
-    within(BOUND, &format!("version 3 everywhere, {what}"), is_known).await;
+    let has_both = |instance: &TestInstance| {
+        instance.version() == 3 && instance.gateway.eligible_upstreams("s").len() == 1
+    };
+    let is_known = || instances.iter().all(has_both);
+    within(BOUND, &format!("known everywhere, {what}"), is_known).await;
 }
 
 // Guards against readers that poll each other while the store leaves both unanswered, so
