Soak: play links that come and go in three more forms

One gateway whose links hang 1.5 s and work 0.7 s, and five whose links are reset or whose new ones are.

--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -25,7 +25,7 @@
 pub const BEFORE: Duration = Duration::from_secs(4);
 const CUT: Duration = Duration::from_secs(10);
 const AFTER: Duration = Duration::from_secs(6);
-/// Times of [`Play::OnAndOff`] with and without links.
+/// Times without and with links in the plays where they come and go.
 const OFF: Duration = Duration::from_millis(1_500);
 const ON: Duration = Duration::from_millis(700);
 /// Time after the begin and the end of a cut from which on requests count.
@@ -60,6 +60,9 @@
     GatewaysRestartedInTurn,
     /// Two upstreams and a gateway that is not cut freeze meanwhile.
     OthersFrozen,
+    OneOnAndOff,
+    OnAndOffReset,
+    OnAndOffNewReset,
 }
 
 /// How the links of a gateway are lost.
@@ -90,6 +93,9 @@
                     .then_some(Kind::Hang);
             }
             Self::OthersFrozen => (4, Kind::Hang),
+            Self::OneOnAndOff => (1, Kind::Hang),
+            Self::OnAndOffReset => (5, Kind::Reset),
+            Self::OnAndOffNewReset => (5, Kind::NewReset),
             _ => (5, Kind::Hang),
         };
         (gateway < count).then_some(kind)
@@ -152,7 +158,7 @@
 
 async fn go_on(env: &Arc<TestEnv>, play: Play, until: Instant) {
     match play {
-        Play::OnAndOff => {
+        Play::OnAndOff | Play::OneOnAndOff | Play::OnAndOffReset | Play::OnAndOffNewReset => {
             while Instant::now() + OFF + ON < until {
                 sleep(OFF).await;
                 set_links(env, play, false);
