Soak: keep seeds 614 and 805, which failed once; list 805

Seed 805 on, one build: one gateway answered 28 of 261 requests with 503 no-upstream after the recovery.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -41,7 +41,7 @@
 
 /// Seeds that failed once, with the cause of each. They run before the seeds in
 /// `SOAK_SEEDS`.
-const FAILED_ONCE: [(u64, &str); 15] = [
+const FAILED_ONCE: [(u64, &str); 17] = [
     (
         1,
         "the test started a gateway while its previous process was stopping",
@@ -87,6 +87,11 @@
         568,
         "open: the store lost a stopped request, and all gateways ended before it was written again",
     ),
+    (614, "as 568"),
+    (
+        805,
+        "open: after a return of the store from a copy whose log was gone, one gateway did not take back the entries that upstreams wrote again",
+    ),
 ];
 /// Seeds that play [`crashing::Play`] instead of drawn faults; they run alone.
 const PLAY_SEEDS: std::ops::RangeInclusive<u64> = 301..=307;
