Time limits of the store's client end silence, not long answers

The limits presumed short answers.

Now they bound the time until 1 KiB has come, the pauses after it, and the whole arrival: 1 MiB over a quarter of 10 Mbit/s, 3.4 s. A store that is silent, or sends a head alone, is given up after 800 ms as before; one that stops within the answer to a long poll after 800 ms instead of its wait and 800 ms. The log names answers of 64 KiB or more, and the error says how many bytes had come.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to other processes: callers, upstreams, peers and the platform's
 //! services.
 
+pub mod arrivals;
 pub mod caller;
 pub mod exchange;
 pub mod list;
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::arrivals::Arrivals;
 use super::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Most headers in one response.
@@ -112,6 +113,7 @@
     reader: R,
     buffer: &'c mut BytesMut,
     reservation: ResponseReservation,
+    arrivals: Option<&'c Arrivals>,
 }
 
 impl Connection {
@@ -167,6 +169,20 @@
         self.exchange_within(request, id_header, &memory).await
     }
 
+    /// Like [`Connection::exchange`], without ids; counts the bytes received in `arrivals`.
+    ///
+    /// # Errors
+    /// As [`Connection::exchange_within`].
+    pub async fn exchange_observed(
+        &mut self,
+        request: &HttpRequest,
+        arrivals: &Arrivals,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let memory = ResponseMemory::new(UNSHARED_MEMORY_BYTES);
+        self.exchange_matching(request, None, false, &memory, Some(arrivals))
+            .await
+    }
+
     /// Sends a request and reads the complete response into `memory`.
     ///
     /// `id_header` matches responses to requests. Dropping the future leaves the
@@ -183,7 +199,7 @@
     ) -> Result<HttpResponse, ExchangeError> {
         let must_have_id = self.server_sends_ids;
         let response = self
-            .exchange_matching(request, id_header, must_have_id, memory)
+            .exchange_matching(request, id_header, must_have_id, memory, None)
             .await?;
         self.server_sends_ids |= id_header.is_some_and(|name| response.headers.contains_key(name));
         Ok(response)
@@ -200,7 +216,7 @@
         id_header: Option<&HeaderName>,
         memory: &Arc<ResponseMemory>,
     ) -> Result<HttpResponse, ExchangeError> {
-        self.exchange_matching(request, id_header, false, memory)
+        self.exchange_matching(request, id_header, false, memory, None)
             .await
     }
 
@@ -210,6 +226,7 @@
         id_header: Option<&HeaderName>,
         must_have_id: bool,
         memory: &Arc<ResponseMemory>,
+        arrivals: Option<&Arrivals>,
     ) -> Result<HttpResponse, ExchangeError> {
         self.is_reusable = false;
         let bytes = encode(request);
@@ -226,6 +243,7 @@
             reader,
             buffer: &mut self.buffer,
             reservation: ResponseReservation::new(memory),
+            arrivals,
         };
         let expected = expected_id.map(|(name, value)| ExpectedId {
             name,
@@ -578,9 +596,14 @@
     /// Reads what has arrived; 0 bytes at the end of the connection.
     async fn read_more(&mut self) -> Result<usize, ExchangeError> {
         self.buffer.reserve(READ_RESERVE_BYTES);
-        self.reader
+        let count = self
+            .reader
             .read_buf(self.buffer)
             .await
-            .map_err(ExchangeError::Disconnected)
+            .map_err(ExchangeError::Disconnected)?;
+        if let Some(arrivals) = self.arrivals {
+            arrivals.add(count);
+        }
+        Ok(count)
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,9 +11,10 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use serde::Deserialize;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::records;
+use crate::connection::arrivals::{Arrivals, ResponseLimits};
 use crate::connection::exchange::{Connection, HttpRequest, HttpResponse};
 use crate::decision::directory::UpstreamReport;
 use crate::gateway::store::{
@@ -22,13 +23,19 @@
 
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for a response of the store, in addition to the wait of a long poll.
-/// A response usually takes 4 ms, and 60 times as long while the store is slow.
+/// Time in which a response of the store must begin, in addition to the wait of a long
+/// poll, and longest pause in it. A response usually takes 4 ms, and 60 times as long while
+/// the store is slow.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout for all pages of a snapshot, of 500 records each. A page usually takes 4 ms,
-/// and 60 times as long while the store is slow; this leaves a quarter of the platform's
-/// bound of 2 s on a new manifest for another source.
+/// Time for the rest of a response that has begun: the largest one, 1 MiB, over a quarter
+/// of the narrowest link, 10 Mbit/s, whose other traffic takes the rest.
+const ARRIVAL_TIMEOUT: Duration = Duration::from_millis(3_400);
+/// Time in all in which the pages of a snapshot, of 500 records each, must begin. A page
+/// usually takes 4 ms, and 60 times as long while the store is slow; this leaves a quarter
+/// of the platform's bound of 2 s on a new manifest for another source.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size from which the log names a response: a version of some 400 routes.
+const LONG_RESPONSE_BYTES: usize = 64 * 1024;
 /// Header with the number of times that the store has returned from an older copy.
 const ERA_HEADER: &str = "store-era";
 /// Size of the header of a read's response: the end offset and the first offset
@@ -82,21 +89,32 @@
         }
     }
 
-    /// Sends one request to the store; a connection that fails is not reused.
+    /// Sends one request to the store, whose response must begin within `begin`; a
+    /// connection that fails is not reused.
     async fn call(
         &self,
-        method: Method,
-        target: String,
-        body: Bytes,
-        response_timeout: Duration,
+        stream: Stream,
+        request: &HttpRequest,
+        begin: Duration,
+        arrivals: &Arrivals,
     ) -> Result<HttpResponse, StoreError> {
         let mut connection = self.connect().await?;
-        let request = self.request(method, target, body);
-        let response = timeout(response_timeout, connection.exchange(&request, None))
+        let limits = ResponseLimits {
+            begin,
+            pause: RESPONSE_TIMEOUT,
+            arrival: ARRIVAL_TIMEOUT,
+        };
+        let response = limits
+            .apply(arrivals, connection.exchange_observed(request, arrivals))
             .await
-            .map_err(|_| StoreError::Unreachable("no response within the timeout".to_owned()))?
+            .map_err(|overdue| StoreError::Unreachable(overdue.to_string()))?
             .map_err(|error| StoreError::Unreachable(error.to_string()))?;
         self.lock_idle().push(connection);
+        let bytes = response.body.len();
+        if bytes >= LONG_RESPONSE_BYTES {
+            let elapsed_ms = arrivals.elapsed_ms();
+            tracing::info!(%stream, bytes, elapsed_ms, "long response of the store");
+        }
         match response.status {
             status if status.is_success() => Ok(response),
             StatusCode::GONE => Err(StoreError::Compacted),
@@ -124,15 +142,20 @@
         let topic = topic(stream);
         let mut newest = Records::default();
         let mut after: Option<Arc<str>> = None;
+        let mut begin_left = SNAPSHOT_TIMEOUT;
         loop {
             let mut target = format!("/api/log-newest?topic={topic}&part=0");
             if let Some(key) = &after {
                 target.push_str("&after=");
                 target.push_str(&percent_encoded(key));
             }
-            let response = self
-                .call(Method::GET, target, Bytes::new(), RESPONSE_TIMEOUT)
-                .await?;
+            let request = self.request(Method::GET, target, Bytes::new());
+            let arrivals = Arrivals::new();
+            let asked_at = Instant::now();
+            let begin = RESPONSE_TIMEOUT.min(begin_left);
+            let response = self.call(stream, &request, begin, &arrivals).await?;
+            let begun_at = arrivals.begun_at().unwrap_or_else(Instant::now);
+            begin_left = begin_left.saturating_sub(begun_at - asked_at);
             let page: NewestPage = serde_json::from_slice(&response.body)
                 .map_err(|error| StoreError::InvalidResponse(error.to_string()))?;
             // The pages are not a consistent snapshot, so records after the end
@@ -191,30 +214,32 @@
     }
 
     async fn newest(&self, stream: Stream) -> Result<Records, StoreError> {
-        timeout(SNAPSHOT_TIMEOUT, self.read_snapshot(stream))
+        let limit = SNAPSHOT_TIMEOUT + ARRIVAL_TIMEOUT;
+        timeout(limit, self.read_snapshot(stream))
             .await
             .map_err(|_| StoreError::Unreachable("no snapshot within the timeout".to_owned()))?
     }
 
     async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Records, StoreError> {
+        let arrivals = Arrivals::new();
         let target = format!(
             "/api/log-read?topic={}&part=0&from={from}&wait-ms={}",
             topic(stream),
             wait.as_millis()
         );
-        let response_timeout = wait + RESPONSE_TIMEOUT;
-        let response = self
-            .call(Method::GET, target, Bytes::new(), response_timeout)
-            .await?;
+        let request = self.request(Method::GET, target, Bytes::new());
+        let begin = wait + RESPONSE_TIMEOUT;
+        let response = self.call(stream, &request, begin, &arrivals).await?;
         let era = era_of(&response)?;
         decode_read(response.body, from, era)
     }
 
     async fn put_instance(&self, key: &str, value: Option<&[u8]>) -> Result<(), StoreError> {
-        let topic = topic(Stream::Instances);
-        let target = format!("/api/log-append?topic={topic}&part=0");
+        let stream = Stream::Instances;
+        let target = format!("/api/log-append?topic={}&part=0", topic(stream));
         let body = encode_record(key, value.unwrap_or_default());
-        self.call(Method::POST, target, body, RESPONSE_TIMEOUT)
+        let request = self.request(Method::POST, target, body);
+        self.call(stream, &request, RESPONSE_TIMEOUT, &Arrivals::new())
             .await?;
         Ok(())
     }
