A check of a long poll waits for a response that has begun to arrive

The check of the operators' long poll failed if its whole answer was not there after 250 ms. When it brought a long version over a narrow link, the reader was taken for one without the store, and the bytes were thrown away; when the long poll brought it, too, both shared the link and each took twice as long.

The check now has 250 ms to begin. A poll whose answer has begun is left alone, as the store's client limits the pauses in it; a check under way is dropped then, and the poll is dropped once a check has delivered. A slow store is told by the time until its answer begins, so a narrow link no longer adds a pause of 900 ms, and a recheck does not cut off an answer that arrives.

New tests in tests/gateway/long_versions.rs: a version of 2,800 routes (546 KB) over half of 10 Mbit/s.

--- a/src/connection/arrivals.rs
+++ b/src/connection/arrivals.rs
@@ -64,6 +64,15 @@
         let _ = latest.wait_for(|latest| latest.begun_at.is_some()).await;
     }
 
+    /// Time from the call to the beginning of the response; to now before that, and for a
+    /// short one.
+    #[must_use]
+    pub fn time_to_begin(&self) -> Duration {
+        self.begun_at()
+            .unwrap_or_else(Instant::now)
+            .saturating_duration_since(self.called_at)
+    }
+
     /// Time since the call began, in milliseconds.
     #[must_use]
     pub fn elapsed_ms(&self) -> u64 {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -13,6 +13,7 @@
 use super::state::Gateway;
 use super::store::{Platform, Records, StoreError, Stream};
 use super::view::{Extent, instance_key};
+use crate::connection::arrivals::Arrivals;
 
 /// Range of the first retry delay while the store is unreachable; the delay
 /// doubles with each failure.
@@ -138,11 +139,12 @@
             (false, _) => stream.long_poll_wait(),
         };
         let is_checked = stream == Stream::Operator && is_loaded && !needs_short_poll;
-        let checked_poll = is_checked.then(|| CheckedLongPoll::begin(&gateway.operator_long_poll));
-        let began = Instant::now();
+        let arrivals = Arc::new(Arrivals::new());
+        let checked_poll = is_checked
+            .then(|| CheckedLongPoll::begin(&gateway.operator_long_poll, Arc::clone(&arrivals)));
         let read = tokio::select! {
-            read = read_stream(&gateway, stream, is_loaded, wait) => read,
-            () = gateway.store_recheck.notified(), if !needs_short_poll => {
+            read = read_stream(&gateway, stream, is_loaded, wait, &arrivals) => read,
+            () = recheck_wanted(&gateway, &arrivals), if !needs_short_poll => {
                 needs_short_poll = true;
                 continue;
             }
@@ -162,7 +164,7 @@
                 // A long poll of a slow store may miss a record that is written while
                 // the poll arrives.
                 let is_short_poll = needs_short_poll || !is_loaded;
-                needs_short_poll = is_short_poll && began.elapsed() > PROMPT_RESPONSE_TIME;
+                needs_short_poll = is_short_poll && arrivals.time_to_begin() > PROMPT_RESPONSE_TIME;
                 if contact.on_response(stream) {
                     gateway.on_store_recovered();
                     gateway.store_recheck.notify_waiters();
@@ -211,6 +213,17 @@
     }
 }
 
+/// Waits until the connection to the store is to be checked by a short read; a response
+/// that arrives shows that it works.
+async fn recheck_wanted<P: Platform>(gateway: &Gateway<P>, arrivals: &Arrivals) {
+    loop {
+        gateway.store_recheck.notified().await;
+        if arrivals.begun_at().is_none() {
+            return;
+        }
+    }
+}
+
 /// Records that the store has confirmed what is known of a stream; returns false if it
 /// reads behind that, so that its answer may lack newer records.
 pub fn confirm<P: Platform>(gateway: &Gateway<P>, stream: Stream, answer: &Records) -> bool {
@@ -322,10 +335,12 @@
     stream: Stream,
     is_loaded: bool,
     wait: Duration,
+    arrivals: &Arrivals,
 ) -> Result<Records, StoreError> {
     let from = gateway.view().next_offset(stream);
     let records = if is_loaded {
-        gateway.platform.read(stream, from, wait).await?
+        let read = gateway.platform.read_observed(stream, from, wait, arrivals);
+        read.await?
     } else {
         gateway.platform.newest(stream).await?
     };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::upstream_contact::ContactState;
 use super::upstream_notices::NoticeState;
 use super::view::{Event, Extent, View};
+use crate::connection::arrivals::Arrivals;
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
 use crate::decision::directory::Upstream;
@@ -88,8 +89,8 @@
     pub stream_ages: StreamAges,
     /// What is known of readers while the source of records lacks the store.
     pub reader_search: watch::Sender<ReaderSearch>,
-    /// Number of the long poll of [`Stream::Operator`] in flight, if there is one.
-    pub operator_long_poll: watch::Sender<Option<u64>>,
+    /// What arrives of the long poll of [`Stream::Operator`] in flight, if there is one.
+    pub operator_long_poll: watch::Sender<Option<Arc<Arrivals>>>,
     /// Notified when a check finds records that the long poll in flight has not returned.
     pub operator_poll_missed_records: Notify,
     /// Notified when the store does not answer the check of a long poll in time.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::connection::arrivals::Arrivals;
 use crate::decision::directory::UpstreamReport;
 use crate::decision::manifest::Manifest;
 
@@ -131,6 +132,18 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Records, StoreError>> + Send;
 
+    /// Like [`Platform::read`]; counts in `arrivals` what it receives, if the platform can
+    /// tell.
+    fn read_observed(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        _arrivals: &Arrivals,
+    ) -> impl Future<Output = Result<Records, StoreError>> + Send {
+        self.read(stream, from, wait)
+    }
+
     /// Appends a record to [`Stream::Instances`].
     fn put_instance(
         &self,
--- a/src/gateway/store_trials.rs
+++ b/src/gateway/store_trials.rs
@@ -19,6 +19,7 @@
 use super::state::Gateway;
 use super::store::{Platform, Records, StoreError, Stream};
 use super::view::Extent;
+use crate::connection::arrivals::Arrivals;
 use crate::decision::rendezvous::weight;
 use crate::decision::store_reader::{STALE_AGE_MS, first_trial_delay_ms, trial_round_ms};
 
@@ -155,7 +156,14 @@
 
 /// Reads the operator stream once; takes on the reader role if the store answers.
 async fn try_store<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let read = read_stream(gateway, Stream::Operator, true, Duration::ZERO).await;
+    let read = read_stream(
+        gateway,
+        Stream::Operator,
+        true,
+        Duration::ZERO,
+        &Arrivals::new(),
+    )
+    .await;
     gateway.metrics.on_store_call(read.is_ok());
     match read {
         Ok(records) => apply_trial(gateway, records),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,7 +11,7 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use serde::Deserialize;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use super::records;
 use crate::connection::arrivals::{Arrivals, ResponseLimits};
@@ -151,11 +151,9 @@
             }
             let request = self.request(Method::GET, target, Bytes::new());
             let arrivals = Arrivals::new();
-            let asked_at = Instant::now();
             let begin = RESPONSE_TIMEOUT.min(begin_left);
             let response = self.call(stream, &request, begin, &arrivals).await?;
-            let begun_at = arrivals.begun_at().unwrap_or_else(Instant::now);
-            begin_left = begin_left.saturating_sub(begun_at - asked_at);
+            begin_left = begin_left.saturating_sub(arrivals.time_to_begin());
             let page: NewestPage = serde_json::from_slice(&response.body)
                 .map_err(|error| StoreError::InvalidResponse(error.to_string()))?;
             // The pages are not a consistent snapshot, so records after the end
@@ -221,7 +219,17 @@
     }
 
     async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Records, StoreError> {
-        let arrivals = Arrivals::new();
+        self.read_observed(stream, from, wait, &Arrivals::new())
+            .await
+    }
+
+    async fn read_observed(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+        arrivals: &Arrivals,
+    ) -> Result<Records, StoreError> {
         let target = format!(
             "/api/log-read?topic={}&part=0&from={from}&wait-ms={}",
             topic(stream),
@@ -229,7 +237,7 @@
         );
         let request = self.request(Method::GET, target, Bytes::new());
         let begin = wait + RESPONSE_TIMEOUT;
-        let response = self.call(stream, &request, begin, &arrivals).await?;
+        let response = self.call(stream, &request, begin, arrivals).await?;
         let era = era_of(&response)?;
         decode_read(response.body, from, era)
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod hop_faults;
 mod limited;
 mod links;
+mod long_versions;
 mod outcomes;
 mod process;
 mod rate_limits;
