--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod limited;
 mod links;
 mod long_values;
+mod long_versions;
 mod narrow_links;
 mod outcomes;
 mod process;
