Tests: refusals written again and answers cut at any byte

A scripted upstream writes an earlier refusal before, after, in pieces and within the answer to a request that it runs, or ends its answer at any byte.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod call_forwarding;
 mod crashing_requests;
+mod cut_answers;
 mod cut_off;
 mod endless_responses;
 mod fake;
@@ -16,6 +17,8 @@
 mod process;
 mod rate_limits;
 mod reader_role;
+mod repeated_refusals;
+mod scripted;
 mod server;
 mod store_copy;
 mod store_trials;
