Exchange: reject a head made of parts of two responses

Callers got 503 for requests that an upstream had run, requests that may run only once ran at a second upstream, and successes came with an empty body framed as whole, when an upstream broke off within a head and wrote another one on the same connection (an earlier refusal written again in part, or an answer that it stopped and a refusal after it).

The second status line is no error to the parser if the first head ended within its reason or a header's value: it becomes the end of that text, and the two heads are read as one, with the refusal of the one and the id of the other. A head is now rejected if it contains more than one status line, so the end of the request counts as unknown (502), and the connection is not used again.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod exchange;
+mod head;
 pub mod list;
 pub mod log;
 pub mod peer;
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::head::is_of_two_responses;
 use super::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Most headers in one response.
@@ -314,6 +315,11 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
+    if is_of_two_responses(&buffer[..length]) {
+        return Err(ExchangeError::InvalidResponse(
+            "the head consists of parts of two responses",
+        ));
+    }
     let status = head
         .code
         .and_then(|code| StatusCode::from_u16(code).ok())
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -357,3 +357,18 @@
     expect_that!(probed, ok(anything()));
     expect_that!(connection.is_usable(), eq(true));
 }
+
+// Guards against a check for parts of two heads that rejects proper ones, too.
+#[gtest]
+#[tokio::test]
+async fn a_head_that_names_versions_in_its_values_is_accepted() {
+    let text = "HTTP/1.1 200 HTTP/1.1\r\nx-id: a\r\nvia: HTTP/1.1 near, HTTP/1.0 500-proxy\r\n\
+                upgrade: HTTP/2.0\r\ncontent-length: 1\r\n\r\na";
+    let (address, _read) = server(vec![ServerAction::Write(text)]).await;
+    let mut connection = open(address).await;
+
+    let response = get(&mut connection, "a").await.unwrap();
+
+    expect_that!(response.status.as_u16(), eq(200));
+    expect_that!(connection.is_usable(), eq(true));
+}
