--- a/src/connection.rs
+++ b/src/connection.rs
@@ -4,6 +4,7 @@
 pub mod arrivals;
 pub mod caller;
 pub mod exchange;
+mod head;
 pub mod list;
 pub mod log;
 pub mod peer;
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use super::arrivals::Arrivals;
+use super::head::is_of_two_responses;
 use super::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Most headers in one response.
@@ -332,6 +333,11 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
+    if is_of_two_responses(&buffer[..length]) {
+        return Err(ExchangeError::InvalidResponse(
+            "the head consists of parts of two responses",
+        ));
+    }
     let status = head
         .code
         .and_then(|code| StatusCode::from_u16(code).ok())
