--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -280,7 +280,10 @@
         for packed in self.values {
             let packed = match packed.source {
                 Some(source) => fetch(gateway, source, &packed.id).await?,
-                None => packed,
+                None => {
+                    gateway.metrics.on_long_value("told");
+                    packed
+                }
             };
             let base = base_of(&gateway.view(), &packed.id);
             let value = base.and_then(|base| decompress(&packed, &base));
@@ -313,11 +316,15 @@
         client.long_value(id.clone(), SOURCE_TIMEOUT).await
     };
     let why = match timeout(SOURCE_TIMEOUT, fetched).await {
-        Ok(Ok(Some(packed))) if packed.id == *id => return Ok(packed),
+        Ok(Ok(Some(packed))) if packed.id == *id => {
+            gateway.metrics.on_long_value("fetched");
+            return Ok(packed);
+        }
         Ok(Ok(_)) => "it does not have the value".to_owned(),
         Ok(Err(error)) => error.to_string(),
         Err(_) => "timed out".to_owned(),
     };
+    gateway.metrics.on_long_value("not-fetched");
     tracing::info!(%source, stream = %id.stream, key = %id.key, offset = id.offset, why, "cannot fetch a long value from another instance; asking the one that told of it");
     Err(RelayError::ValueNotFetched(source))
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -55,6 +55,7 @@
     sends: EndCounters,
     send_permits: EndCounters,
     handed: EndCounters,
+    long_values: EndCounters,
     peers: Family<FormatLabels, Gauge<u64, AtomicU64>>,
     /// Calls to other instances that were not made, since their builds do not know them.
     pub unknown_calls: Counter,
@@ -114,6 +115,7 @@
             sends: EndCounters::default(),
             send_permits: EndCounters::default(),
             handed: EndCounters::default(),
+            long_values: EndCounters::default(),
             peers: Family::default(),
             unknown_calls: Counter::default(),
             cut_off: Gauge::default(),
@@ -170,6 +172,12 @@
         );
         let handed = self.handed.clone();
         registry.register("handed", "Requests handed over by how that ended", handed);
+        let values = self.long_values.clone();
+        registry.register(
+            "long_values",
+            "Long values by how they were received",
+            values,
+        );
         let build = Info::new([("version", BUILD)]);
         registry.register("build", "Version of this build", build);
         let peers = self.peers.clone();
@@ -236,6 +244,11 @@
         count(&self.send_permits, end);
     }
 
+    /// Counts a long value that another instance told of by how it was received.
+    pub fn on_long_value(&self, end: &'static str) {
+        count(&self.long_values, end);
+    }
+
     /// Counts a request that was handed to another instance by its outcome.
     pub fn on_handed(&self, end: &'static str) {
         count(&self.handed, end);
