Entries of upstreams: an address must be one that can be reached

An entry of another writer with port 0 or an unspecified address (0.0.0.0) was taken for an upstream to use: requests drew it, probed it and found nobody, at 0.0.0.0 perhaps another process of their own machine.

Both parse as a socket address. The decoder now rejects them like other addresses that name nobody, so the entry names no upstream to use.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -1,6 +1,7 @@
 //! Decodes the platform's records into the gateway's types.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -186,12 +187,17 @@
             )));
         }
     };
-    let address = record.addr.parse().map_err(|_| {
+    let address: SocketAddr = record.addr.parse().map_err(|_| {
         RecordError(format!(
             "its addr is {}, not an IP address and port",
             record.addr
         ))
     })?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(RecordError(format!(
+            "its addr is {address}, where no process can be reached"
+        )));
+    }
     let cold_left_ms = match record.warmup_left {
         Some(text) => parse_time_ms(&text)?,
         None => 0,
