--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -47,7 +47,9 @@
 
 #[derive(Debug, Deserialize)]
 struct NewestItem {
-    key: Arc<str>,
+    /// Another writer may have used any bytes.
+    #[serde(with = "serde_bytes")]
+    key: Vec<u8>,
     value: String,
     offset: u64,
 }
@@ -123,7 +125,7 @@
     async fn read_snapshot(&self, stream: Stream) -> Result<Records, StoreError> {
         let topic = topic(stream);
         let mut newest = Records::default();
-        let mut after: Option<Arc<str>> = None;
+        let mut after: Option<Vec<u8>> = None;
         loop {
             let mut target = format!("/api/log-newest?topic={topic}&part=0");
             if let Some(key) = &after {
@@ -146,9 +148,9 @@
                     "the store returned from a copy between two pages".to_owned(),
                 ));
             }
-            after = page.items.last().map(|item| Arc::clone(&item.key));
+            after = page.items.last().map(|item| item.key.clone());
             for item in page.items {
-                newest.records.push(decode_item(item)?);
+                newest.records.extend(decode_item(item)?);
             }
             if !page.more || after.is_none() {
                 newest.records.sort_by_key(|record| record.offset);
@@ -249,16 +251,23 @@
     }
 }
 
-fn decode_item(item: NewestItem) -> Result<KeyedRecord, StoreError> {
+/// Decodes an item of a snapshot; `None` if its key is unreadable, as in
+/// [`decode_record`].
+fn decode_item(item: NewestItem) -> Result<Option<KeyedRecord>, StoreError> {
+    let Ok(key) = String::from_utf8(item.key) else {
+        let offset = item.offset;
+        tracing::warn!(offset, "record skipped: its key is not UTF-8");
+        return Ok(None);
+    };
     let value = STANDARD
         .decode(&item.value)
         .map_err(|error| StoreError::InvalidResponse(error.to_string()))?;
-    Ok(KeyedRecord {
+    Ok(Some(KeyedRecord {
         era: 0,
         offset: item.offset,
-        key: item.key,
+        key: key.into(),
         value: Some(value),
-    })
+    }))
 }
 
 /// The era that a response names, counted from 1; a store without eras is in its first.
@@ -338,9 +347,9 @@
     bytes.into()
 }
 
-fn percent_encoded(text: &str) -> String {
-    let mut encoded = String::with_capacity(text.len());
-    for byte in text.bytes() {
+fn percent_encoded(key: &[u8]) -> String {
+    let mut encoded = String::with_capacity(key.len());
+    for byte in key.iter().copied() {
         if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
             encoded.push(char::from(byte));
         } else {
