Directory: a warm-up too long for the clock does not overflow

A warm-up of 18446744073709548s in an entry of another writer made a debug build panic each time that it read the entry, so its follower never got over it; a release build wrapped around and took the upstream for warm.

The end of the warm-up was a plain sum of the clock and that time. It now saturates.

an_entry_that_stays_cold_for_ever_is_taken failed on ("attempt to add with overflow", 1 run) and passes (1 run).

--- a/src/decision/directory.rs
+++ b/src/decision/directory.rs
@@ -96,7 +96,7 @@
         }
         let cold_until_ms = match report.cold_left_ms {
             0 => 0,
-            left_ms => now_ms + left_ms,
+            left_ms => now_ms.saturating_add(left_ms),
         };
         let upstream = Arc::new(Upstream {
             report,
