Relay: tell long streams in pages

With 12 MB of odd entries in the list of upstreams (120 of 100,000 bytes, or 100,000 small ones), the instances that follow another one learned nothing more: no version, no upstream, no drain, and one that started without the store never got ready.

The records that an instance lacked came in one response, which was longer than a frame between instances (8 MiB), and so was each repetition. A response now holds about 1 MiB of each stream at most, in the order of the stream, and names the offset of the next record; the requester asks from there at once. Records of earlier eras all stay in the first page, since no later read would return them.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,6 +28,9 @@
 /// Streams that instances fetch from each other.
 pub const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
 
+/// Size from which on the records of a stream are told in several responses: those of all
+/// streams together stay well within a frame of 8 MiB.
+const MAX_PAGE_BYTES: usize = 1024 * 1024;
 /// Most reports of suspects, of limits, and of notices in one response.
 pub const MAX_REPORTS: usize = 256;
 
@@ -307,6 +310,7 @@
         } else {
             copy.records_from(position.next_offset)
         };
+        let records = records.into_page(MAX_PAGE_BYTES);
         streams.push(StreamRecords {
             stream: position.stream,
             records,
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -53,6 +53,39 @@
     pub next_offset: u64,
 }
 
+/// Encoded size of a record beyond that of its key and value.
+const RECORD_OVERHEAD_BYTES: usize = 64;
+
+impl Records {
+    /// Leaves out the last records if all of them take more than about `max_bytes`; the next
+    /// read starts at the first one that is left out.
+    ///
+    /// Those of earlier eras always stay, since no later read would return them.
+    #[must_use]
+    pub fn into_page(mut self, max_bytes: usize) -> Self {
+        let era = self.era;
+        let stands_here = |record: &KeyedRecord| record.era == 0 || record.era == era;
+        let position = |record: &KeyedRecord| (stands_here(record), record.offset);
+        self.records.sort_by_key(position);
+        let mut bytes = 0;
+        let mut previous = None;
+        for (index, record) in self.records.iter().enumerate() {
+            let is_full = bytes >= max_bytes && stands_here(record);
+            // Records of one offset come together, as the next read starts at an offset.
+            if is_full && previous != Some(position(record)) {
+                self.next_offset = record.offset;
+                self.records.truncate(index);
+                break;
+            }
+            bytes += RECORD_OVERHEAD_BYTES
+                + record.key.len()
+                + record.value.as_ref().map_or(0, Vec::len);
+            previous = Some(position(record));
+        }
+        self
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Error)]
 pub enum StoreError {
