Sending: an id goes over a connection only once

A caller that used its id again was told 503 for a request that an upstream ran: the request went over the connection on which the upstream had refused the first one, and a copy of that refusal bore the right id.

A connection now knows the ids of the responses that it has carried (as hashes, at most 4,096, after which it is not reused), and a request whose id is among them is sent on a new connection, as one without an id is.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -5,7 +5,9 @@
 //! responses to earlier requests. It never resends a request and never follows
 //! redirects; after a failed exchange it cannot be used again.
 
+use std::collections::HashSet;
 use std::fmt::Write as _;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,6 +36,8 @@
 const READ_RESERVE_BYTES: usize = 4 * 1024;
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_STRAY_RESPONSES: usize = 4;
+/// Responses after which a connection is not reused, so that their ids take little memory.
+const MAX_ANSWERED_IDS: usize = 4_096;
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Unanswered TCP keep-alive probes after which the kernel closes the connection.
@@ -97,6 +101,8 @@
     /// Whether a response has carried its request's id, so that one without an id belongs
     /// to none.
     server_sends_ids: bool,
+    /// Hashes of the ids that responses have carried.
+    answered_ids: HashSet<u64>,
 }
 
 /// The id by which a response is known to belong to its request.
@@ -138,6 +144,7 @@
             is_reusable: true,
             usable_until: Instant::now() + DEFAULT_IDLE_TIMEOUT,
             server_sends_ids: false,
+            answered_ids: HashSet::new(),
         })
     }
 
@@ -186,10 +193,21 @@
         let response = self
             .exchange_matching(request, id_header, must_have_id, memory)
             .await?;
-        self.server_sends_ids |= id_header.is_some_and(|name| response.headers.contains_key(name));
+        if let Some(id) = id_header.and_then(|name| response.headers.get(name)) {
+            self.server_sends_ids = true;
+            self.answered_ids.insert(hash(id));
+            self.is_reusable &= self.answered_ids.len() < MAX_ANSWERED_IDS;
+        }
         Ok(response)
     }
 
+    /// Whether an exchange with this id has had its response, so that a second copy of that
+    /// could not be told from the response to another request with the id.
+    #[must_use]
+    pub fn has_answered(&self, id: &HeaderValue) -> bool {
+        self.answered_ids.contains(&hash(id))
+    }
+
     /// Like [`Connection::exchange_within`], for probes: servers may send ids in their
     /// other responses only.
     ///
@@ -253,6 +271,12 @@
     }
 }
 
+fn hash(id: &HeaderValue) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Time for which an idle connection may be reused.
 fn idle_timeout(headers: &HeaderMap) -> Duration {
     let announced = headers
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -91,7 +91,8 @@
         client: &client,
         is_finished: false,
     };
-    let connection = if call.id.is_some() {
+    let id = call.id.as_ref();
+    let connection = if id.is_some_and(|id| !chosen.connection.has_answered(id)) {
         client
             .reuse_or_open(chosen.connection, &gateway.metrics)
             .await
