--- a/tests/gateway/hop.rs
+++ b/tests/gateway/hop.rs
@@ -29,6 +29,11 @@
     Reset,
     /// They are reset in the middle of the next answer of an upstream.
     ResetInAnswer,
+    /// They end after this many bytes of the next answer of an upstream.
+    CutInAnswer {
+        bytes: usize,
+        is_reset: bool,
+    },
 }
 
 /// A fault, and the number of the first connection that does not have it.
@@ -160,6 +165,17 @@
                 let _ = to.write_all(&bytes[..position + ANSWER.len() / 2]).await;
                 return true;
             }
+            if position.is_some()
+                && marker == ANSWER
+                && let HopFault::CutInAnswer {
+                    bytes: end,
+                    is_reset,
+                } = self.fault()
+            {
+                // The other side may be gone, too.
+                let _ = to.write_all(&bytes[..end.min(count)]).await;
+                return is_reset;
+            }
             if count == 0 || to.write_all(&bytes[..count]).await.is_err() {
                 return false;
             }
--- a/tests/gateway/hop_faults.rs
+++ b/tests/gateway/hop_faults.rs
@@ -41,6 +41,8 @@
 const FAULTS: u32 = 7;
 /// Least share that is served at an instance without links: the users' target.
 const MIN_SHARE: f64 = 0.97;
+/// Distance between two places at which an answer is cut off between instances.
+const CUT_STEP_BYTES: usize = 3;
 /// Requests that one instance runs for others at a time.
 const MAX_TAKEN: usize = 256;
 
@@ -246,6 +248,39 @@
     }
 }
 
+// Guards against an answer that is cut off between two instances being passed on, or its
+// request being refused or done again.
+#[gtest]
+#[tokio::test]
+async fn an_answer_cut_at_any_place_of_the_hop_is_not_passed_on() {
+    for is_reset in [false, true] {
+        let fleet = Fleet::start(1).await;
+        let mut cuts = 0;
+        loop {
+            let bytes = cuts * CUT_STEP_BYTES;
+            let runs = fleet.runs();
+            fleet.set_hops(HopFault::CutInAnswer { bytes, is_reset });
+
+            let outcome = fleet.send(&once_route()).await.unwrap();
+
+            expect_that!(fleet.runs(), eq(runs + 1), "{bytes} bytes, {is_reset}");
+            if let Outcome::Answered(response) = &outcome {
+                expect_that!(&response.body[..], eq(b"good"), "{bytes} bytes, {is_reset}");
+                break;
+            }
+            expect_that!(
+                outcome.status().as_u16(),
+                eq(502),
+                "{bytes} bytes, {is_reset}"
+            );
+            cuts += 1;
+            fleet.set_hops(HopFault::None);
+            fleet.settle(1).await;
+        }
+        expect_that!(cuts, gt(10), "the whole answer is longer than that");
+    }
+}
+
 // Guards against a hop that hangs keeping a request beyond its deadline, or delivering it
 // after that.
 #[gtest]
