Limits: an instance that nobody knows is no principal

An instance that started while the store was away could not register, so no other one ranked it; it ranked itself, though, and gave out the whole rate of those upstreams for which it came first, beside the principal of the others: 81 requests in 4 s at 10/s, where the users allow 65. Now an instance that has not read its own record ranks itself last. So it asks the principal that the others ask, and gives out its equal share only if it reaches none of them.

--- a/src/gateway/send_permit.rs
+++ b/src/gateway/send_permit.rs
@@ -260,16 +260,21 @@
 
     /// The instances that may give out the permits of an upstream, the principal first;
     /// `None` is this one.
+    ///
+    /// The others do not ask an instance that they cannot know, so it comes last here.
     fn ranked_issuers(&self, upstream: &str) -> Vec<Option<SocketAddr>> {
         let settings = self.settings();
-        let mut ranked = vec![(weight(upstream, &settings.name), None)];
+        let mut ranked = Vec::new();
         for (name, instance) in &self.view().instances {
-            if instance.address != settings.peer_address {
-                ranked.push((weight(upstream, name), Some(instance.address)));
-            }
+            let is_other = instance.address != settings.peer_address;
+            ranked.push((weight(upstream, name), is_other.then_some(instance.address)));
         }
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.into_iter().map(|(_, issuer)| issuer).collect()
+        let mut issuers: Vec<_> = ranked.into_iter().map(|(_, issuer)| issuer).collect();
+        if !issuers.contains(&None) {
+            issuers.push(None);
+        }
+        issuers
     }
 
     /// Whether this instance is to give out the permits of an upstream, since those before
--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -294,6 +294,21 @@
         .await;
     }
 
+    /// Adds an instance that knows the others, and waits until it is ready.
+    pub async fn add(&mut self, name: &str) {
+        let mut seeds = Vec::new();
+        for instance in &self.instances {
+            seeds.push(instance.gateway.settings().peer_address);
+        }
+        let settings = settings(name, own_address(), &seeds);
+        let instance = TestInstance::start(&self.store, settings).await;
+        within(SETTLE_TIMEOUT, "the added instance is ready", || {
+            instance.gateway.is_ready()
+        })
+        .await;
+        self.instances.push(instance);
+    }
+
     /// Replaces the process of an instance by a new one that knows nothing yet.
     pub async fn restart(&mut self, number: usize) {
         let mut settings = (*self.instances[number].gateway.settings()).clone();
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use chicorywing::decision::manifest::Route;
+use chicorywing::decision::rendezvous::weight;
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
-use super::fake::route;
+use super::fake::{Mode, route};
 use super::limited::{LimitedFleet, most_allowed, served};
 
 const ALL_OF_SIX: [usize; 6] = [0, 1, 2, 3, 4, 5];
@@ -176,6 +177,39 @@
     expect_that!(served(&all), eq(all.len()));
 }
 
+// Guards against an instance that starts while the store is away, so that no other one
+// knows it, giving out a limit as a whole beside the one that gives it out already.
+#[gtest]
+#[tokio::test]
+async fn an_instance_that_could_not_register_does_not_use_a_limit_again() {
+    let mut fleet = LimitedFleet::start(4, 8).await;
+    let limited = fleet.upstreams[0].id.clone();
+    let unknown = name_that_ranks_first(&limited, 4);
+    fleet.store.set_mode(Mode::Refusing);
+    fleet.add(&unknown).await;
+    fleet.upstreams[0].name_limits(&["10"]);
+
+    let all = fleet
+        .send_steadily(&[0, 1, 2, 3, 4, 4, 4, 4], 160, PLAY_TIME, &route())
+        .await;
+
+    expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(10.0)));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+/// A name under which an instance gives out the permits of an upstream, if the others of
+/// the fleet know it.
+fn name_that_ranks_first(upstream: &str, others: usize) -> String {
+    let most = (0..others)
+        .map(|number| weight(upstream, &format!("gate-{number}")))
+        .max();
+    let mut number = others;
+    while Some(weight(upstream, &format!("gate-{number}"))) <= most {
+        number += 1;
+    }
+    format!("gate-{number}")
+}
+
 // Guards against work being run again, or said not to have run, because the answer of a
 // limited upstream was lost.
 #[gtest]
