Limits: know the other instances without the store after a first start

The sixteenth guards against an instance that is registered but not known to all. Now an instance that lacks the store reads from all others which instances they know, by the call "records" that each build answers, and relies on what it knows once more than half know the same and none that responds knows others. Instances only learn of further ones meanwhile, so two that know different ones cannot both get there.

a_limit_is_used_after_a_first_start_whose_store_goes_away fails before (0 runs in 3.5 s at 3/s, 1 of 1) and passes now (3 of 3).

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -7,6 +7,7 @@
 pub mod directory;
 pub mod ejection;
 pub mod exchanged_reports;
+pub mod instance_agreement;
 pub mod manifest;
 pub mod notice_headers;
 pub mod peer_contacts;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod forward;
 pub mod hand_over;
 pub mod handed;
+pub mod instance_agreement;
 pub mod limit_exchange;
 pub mod limited_choice;
 pub mod link_checks;
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -14,7 +14,7 @@
 use super::relay::{PermitResponse, RelayClient, STREAMS, StreamPosition};
 use super::send_permit::{PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
-use super::store::Platform;
+use super::store::{Platform, Records, Stream};
 use super::view::Extent;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
@@ -183,6 +183,32 @@
         Ok(response.is_reader)
     }
 
+    /// The records of instances that the peer has, whatever this instance has.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn instance_records(&self) -> Result<Records, RelayError> {
+        self.require("records")?;
+        let from_the_start = StreamPosition {
+            stream: Stream::Instances,
+            told_era: 0,
+            next_offset: 0,
+        };
+        // Nothing else is asked for.
+        let (suspects, limits, notices) = (u64::MAX, u64::MAX, u64::MAX);
+        let request = self.client.records(
+            context::current(),
+            vec![from_the_start],
+            suspects,
+            limits,
+            notices,
+            0,
+        );
+        let response = response_within(RESPONSE_TIMEOUT, request).await?;
+        let told = response.streams.into_iter().next();
+        Ok(told.map_or_else(Records::default, |told| told.records))
+    }
+
     /// Tells the peer of an instance that the store serves.
     ///
     /// # Errors
--- a/src/gateway/reader_role.rs
+++ b/src/gateway/reader_role.rs
@@ -17,6 +17,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::instance_agreement;
 use super::peer_client::{PeerClient, RelayError};
 use super::settings::Settings;
 use super::state::Gateway;
@@ -88,7 +89,8 @@
 ///
 /// After the first start of all, it does once it follows the store at the end of the
 /// settle time; if the store is away then, some may be registered that it does not know.
-/// By 10 s they have told each other of all that any of them knows.
+/// So it asks the others ([`instance_agreement`]). By 10 s they have told each other of all
+/// that any of them knows.
 pub fn knows_all_instances<P: Platform>(gateway: &Gateway<P>) -> bool {
     if !gateway.settings().is_first_start || gateway.has_settled() {
         return true;
@@ -107,6 +109,7 @@
         poll_reader(&gateway),
         store_trials::try_in_turn(&gateway),
         store_trials::follow_announced(&gateway),
+        instance_agreement::run(&gateway),
     );
 }
 
--- a/tests/gateway/limited.rs
+++ b/tests/gateway/limited.rs
@@ -224,6 +224,15 @@
 
 impl LimitedFleet {
     pub async fn start(instances: usize, upstreams: usize) -> Self {
+        Self::start_with(instances, upstreams, false).await
+    }
+
+    /// Like [`LimitedFleet::start`], with instances that all start for the first time.
+    pub async fn start_first(instances: usize, upstreams: usize) -> Self {
+        Self::start_with(instances, upstreams, true).await
+    }
+
+    async fn start_with(instances: usize, upstreams: usize, is_first_start: bool) -> Self {
         let store = FakeStore::new();
         store.write(Stream::Operator, "config", Some("1"));
         let mut fleet = Self {
@@ -242,6 +251,7 @@
             }
             let settings = Settings {
                 data_centre: ["dc-a", "dc-b"][number % 2].into(),
+                is_first_start,
                 ..settings(&format!("gate-{number}"), own_address(), &seeds)
             };
             let instance = TestInstance::start(&fleet.store, settings).await;
--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -16,6 +16,10 @@
 /// Time after which all instances know a limit and the permits of the first seconds are
 /// used.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after a first start in which the instances follow the store to know each other.
+const FIRST_START_TIME: Duration = Duration::from_millis(5_500);
+/// Time from then on in which those that have not relied on what they know of each other.
+const FIRST_START_PLAY_TIME: Duration = Duration::from_millis(3_500);
 /// Share of what a limit allows that must be used if there are enough requests.
 const MIN_USED_SHARE: f64 = 0.8;
 /// Time within which a request that fits nowhere must be refused.
@@ -177,6 +181,34 @@
     expect_that!(served(&all), eq(all.len()));
 }
 
+// Guards against a limit that is hardly used for ten seconds after the first start of all
+// instances if the store goes away before they have followed it for long enough.
+#[gtest]
+#[tokio::test]
+async fn a_limit_is_used_after_a_first_start_whose_store_goes_away() {
+    let fleet = LimitedFleet::start_first(6, 8).await;
+    fleet.store.set_mode(Mode::Refusing);
+    for upstream in &fleet.upstreams[..3] {
+        upstream.name_limits(&["3"]);
+    }
+    fleet
+        .send_steadily(&ALL_OF_SIX, 80, FIRST_START_TIME, &route())
+        .await;
+
+    let since = Instant::now();
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 80, FIRST_START_PLAY_TIME, &route())
+        .await;
+
+    let allowed = 3.0 * FIRST_START_PLAY_TIME.as_secs_f64();
+    for upstream in &fleet.upstreams[..3] {
+        let runs = u32::try_from(upstream.runs_since(since)).unwrap();
+        expect_that!(f64::from(runs), ge(MIN_USED_SHARE * allowed));
+        expect_that!(upstream.most_arrivals(), le(most_allowed(3.0)));
+    }
+    expect_that!(served(&all), eq(all.len()));
+}
+
 // Guards against an instance that starts while the store is away, so that no other one
 // knows it, giving out a limit as a whole beside the one that gives it out already.
 #[gtest]
