--- a/tests/gateway/rate_limits.rs
+++ b/tests/gateway/rate_limits.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use chicorywing::decision::manifest::Route;
+use chicorywing::decision::rendezvous::weight;
 use googletest::prelude::*;
 use tokio::time::{Instant, sleep};
 
-use super::fake::route;
+use super::fake::{Mode, route};
 use super::limited::{LimitedFleet, most_allowed, served};
 
 const ALL_OF_SIX: [usize; 6] = [0, 1, 2, 3, 4, 5];
@@ -15,6 +16,10 @@
 /// Time after which all instances know a limit and the permits of the first seconds are
 /// used.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time after a first start in which the instances follow the store to know each other.
+const FIRST_START_TIME: Duration = Duration::from_millis(5_500);
+/// Time from then on in which those that have not relied on what they know of each other.
+const FIRST_START_PLAY_TIME: Duration = Duration::from_millis(3_500);
 /// Share of what a limit allows that must be used if there are enough requests.
 const MIN_USED_SHARE: f64 = 0.8;
 /// Time within which a request that fits nowhere must be refused.
@@ -176,6 +181,67 @@
     expect_that!(served(&all), eq(all.len()));
 }
 
+// Guards against a limit that is hardly used for ten seconds after the first start of all
+// instances if the store goes away before they have followed it for long enough.
+#[gtest]
+#[tokio::test]
+async fn a_limit_is_used_after_a_first_start_whose_store_goes_away() {
+    let fleet = LimitedFleet::start_first(6, 8).await;
+    fleet.store.set_mode(Mode::Refusing);
+    for upstream in &fleet.upstreams[..3] {
+        upstream.name_limits(&["3"]);
+    }
+    fleet
+        .send_steadily(&ALL_OF_SIX, 80, FIRST_START_TIME, &route())
+        .await;
+
+    let since = Instant::now();
+    let all = fleet
+        .send_steadily(&ALL_OF_SIX, 80, FIRST_START_PLAY_TIME, &route())
+        .await;
+
+    let allowed = 3.0 * FIRST_START_PLAY_TIME.as_secs_f64();
+    for upstream in &fleet.upstreams[..3] {
+        let runs = u32::try_from(upstream.runs_since(since)).unwrap();
+        expect_that!(f64::from(runs), ge(MIN_USED_SHARE * allowed));
+        expect_that!(upstream.most_arrivals(), le(most_allowed(3.0)));
+    }
+    expect_that!(served(&all), eq(all.len()));
+}
+
+// Guards against an instance that starts while the store is away, so that no other one
+// knows it, giving out a limit as a whole beside the one that gives it out already.
+#[gtest]
+#[tokio::test]
+async fn an_instance_that_could_not_register_does_not_use_a_limit_again() {
+    let mut fleet = LimitedFleet::start(4, 8).await;
+    let limited = fleet.upstreams[0].id.clone();
+    let unknown = name_that_ranks_first(&limited, 4);
+    fleet.store.set_mode(Mode::Refusing);
+    fleet.add(&unknown).await;
+    fleet.upstreams[0].name_limits(&["10"]);
+
+    let all = fleet
+        .send_steadily(&[0, 1, 2, 3, 4, 4, 4, 4], 160, PLAY_TIME, &route())
+        .await;
+
+    expect_that!(fleet.upstreams[0].most_arrivals(), le(most_allowed(10.0)));
+    expect_that!(served(&all), eq(all.len()));
+}
+
+/// A name under which an instance gives out the permits of an upstream, if the others of
+/// the fleet know it.
+fn name_that_ranks_first(upstream: &str, others: usize) -> String {
+    let most = (0..others)
+        .map(|number| weight(upstream, &format!("gate-{number}")))
+        .max();
+    let mut number = others;
+    while Some(weight(upstream, &format!("gate-{number}"))) <= most {
+        number += 1;
+    }
+    format!("gate-{number}")
+}
+
 // Guards against work being run again, or said not to have run, because the answer of a
 // limited upstream was lost.
 #[gtest]
