--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod notice_exchange;
 pub mod offers;
 pub mod outcome;
+pub mod packed_values;
 pub mod peer_builds;
 pub mod peer_client;
 pub mod peer_format;
--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -6,69 +6,27 @@
 //! not for each instance, and only a few get it from the same instance: the others fetch it
 //! from those.
 
-use std::collections::VecDeque;
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::packed_values::{PackedValue, ValueId, decompress, pack};
 use super::peer_client::{PeerClient, RelayError};
 use super::relay::{RecordsResponse, StreamPosition};
 use super::state::Gateway;
-use super::store::{Platform, Stream};
+use super::store::Platform;
 use super::view::View;
 
 /// Length from which a value is compressed, in bytes; below it, the frame of an answer is
 /// mostly other fields.
 pub const LONG_VALUE_BYTES: usize = 4 * 1024;
-/// Longest value that is decompressed, in bytes; a frame between instances has at most that.
-const MAX_VALUE_BYTES: usize = 8 * 1024 * 1024;
-/// Compressed values that are kept: those of the operators' record, whole and against the one
-/// before, for instances that have read different versions.
-const MAX_KEPT: usize = 4;
-/// Instances that get a value from the same instance; at 10 Mbit/s, the slowest link of the
-/// users' sheets, four times the 69 KB of 4,200 routes take a quarter of a second.
-const FAN_OUT: usize = 4;
 /// Time in which an instance that was told a value before must send it; a third of the
 /// platform's bound of 2 s on a new manifest, so that there is time for another source.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Level of compression, the default of zstd: 240 KB of routes become a tenth in some 2 ms of
-/// a core.
-const LEVEL: i32 = 3;
-
-/// A long value, by its place in a stream and the value against which it is compressed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ValueId {
-    /// Stream of the record.
-    pub stream: Stream,
-    /// Era of the store to which the offsets belong.
-    pub era: u64,
-    /// Offset of the record.
-    pub offset: u64,
-    /// Key of the record.
-    pub key: Arc<str>,
-    /// Offset of the record against whose value it is compressed; `None` if against none.
-    pub base_offset: Option<u64>,
-}
-
-/// The compressed value of a record; the record itself is sent with an empty one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PackedValue {
-    /// Which value it is.
-    pub id: ValueId,
-    /// Length of the value, in bytes.
-    pub length: u64,
-    /// The value, compressed by zstd with a checksum; empty if `source` has it.
-    #[serde(with = "serde_bytes")]
-    pub bytes: Vec<u8>,
-    /// Instance that was told the value before, and from which it is to be fetched.
-    #[serde(default)]
-    pub source: Option<SocketAddr>,
-}
-
 /// Records that the requester lacks, their long values compressed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PackedRecordsResponse {
@@ -78,108 +36,6 @@
     pub values: Vec<PackedValue>,
 }
 
-/// Compressed values that are kept for the next instance that asks.
-#[derive(Debug, Default)]
-pub struct PackedValues {
-    kept: Mutex<VecDeque<KeptValue>>,
-}
-
-#[derive(Debug)]
-struct KeptValue {
-    packed: PackedValue,
-    /// Instances that were told of it, in order.
-    told: Vec<SocketAddr>,
-}
-
-impl KeptValue {
-    /// The instance from which `asker` is to fetch the value; `None` if it gets it from here,
-    /// as the first ones do, and one that asks again.
-    fn source_for(&mut self, asker: SocketAddr) -> Option<SocketAddr> {
-        if self.told.contains(&asker) {
-            return None;
-        }
-        self.told.push(asker);
-        let parent = (self.told.len() - 1) / FAN_OUT;
-        parent.checked_sub(1).map(|parent| self.told[parent])
-    }
-}
-
-impl PackedValues {
-    /// The compressed value for an instance that asks: itself, or the instance to fetch it
-    /// from if enough others get it from here.
-    ///
-    /// # Errors
-    /// Returns an error if the value cannot be compressed.
-    fn tell(
-        &self,
-        id: ValueId,
-        value: &[u8],
-        base: &[u8],
-        asker: SocketAddr,
-    ) -> io::Result<PackedValue> {
-        let mut kept = self.lock();
-        let position = kept.iter().position(|kept| kept.packed.id == id);
-        if position.is_none() {
-            keep(&mut kept, pack(id, value, base)?);
-        }
-        let found = &mut kept[position.unwrap_or(0)];
-        if let Some(source) = found.source_for(asker) {
-            return Ok(PackedValue {
-                id: found.packed.id.clone(),
-                length: found.packed.length,
-                bytes: Vec::new(),
-                source: Some(source),
-            });
-        }
-        Ok(found.packed.clone())
-    }
-
-    /// Keeps a value that another instance has told, for those that fetch it from here.
-    fn keep(&self, packed: PackedValue) {
-        let mut kept = self.lock();
-        if kept.iter().all(|known| known.packed.id != packed.id) {
-            keep(&mut kept, packed);
-        }
-    }
-
-    fn get(&self, id: &ValueId) -> Option<PackedValue> {
-        let kept = self.lock();
-        let found = kept.iter().find(|kept| kept.packed.id == *id);
-        found.map(|kept| kept.packed.clone())
-    }
-
-    fn lock(&self) -> MutexGuard<'_, VecDeque<KeptValue>> {
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-fn keep(kept: &mut VecDeque<KeptValue>, packed: PackedValue) {
-    kept.truncate(MAX_KEPT - 1);
-    kept.push_front(KeptValue {
-        packed,
-        told: Vec::new(),
-    });
-}
-
-fn pack(id: ValueId, value: &[u8], base: &[u8]) -> io::Result<PackedValue> {
-    let bytes = compress(value, base)?;
-    tracing::info!(
-        stream = %id.stream,
-        key = %id.key,
-        offset = id.offset,
-        base_offset = id.base_offset,
-        bytes = value.len(),
-        packed_bytes = bytes.len(),
-        "long value compressed for other instances"
-    );
-    Ok(PackedValue {
-        id,
-        length: u64::try_from(value.len()).unwrap_or(u64::MAX),
-        bytes,
-        source: None,
-    })
-}
-
 /// The value that a long one replaces.
 #[derive(Clone, Debug)]
 struct Base {
@@ -248,6 +104,18 @@
         if let Some(packed) = gateway.packed_values.get(id) {
             return Some(packed);
         }
+        if let Some((value, base)) = own_value(&gateway.view(), id) {
+            return match pack(id.clone(), &value, &base) {
+                Ok(packed) => {
+                    gateway.packed_values.keep(packed.clone());
+                    Some(packed)
+                }
+                Err(error) => {
+                    tracing::warn!(stream = %id.stream, key = %id.key, %error, "cannot compress a value for another instance");
+                    None
+                }
+            };
+        }
         match timeout_at(until, changes.changed()).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return None,
@@ -255,6 +123,22 @@
     }
 }
 
+/// The value and the one against which it is to be compressed, if this instance has them
+/// from elsewhere than the one that told the other of it.
+fn own_value(view: &View, id: &ValueId) -> Option<(Vec<u8>, Vec<u8>)> {
+    let copy = view.copy(id.stream);
+    let known = copy
+        .get(&id.key)
+        .filter(|known| (copy.era, known.offset) == (id.era, id.offset))?;
+    let value = known.value.clone()?;
+    let Some(base_offset) = id.base_offset else {
+        return Some((value, Vec::new()));
+    };
+    let replaced = copy.replaced(&id.key)?;
+    let base = replaced.value.clone()?;
+    (replaced.offset == base_offset).then_some((value, base))
+}
+
 /// The value before the newest one of a key, if an instance at `position` has read it last.
 fn known_base(view: &View, position: &StreamPosition, key: &str) -> Option<Base> {
     let replaced = view.copy(position.stream).replaced(key)?;
@@ -278,12 +162,11 @@
     ) -> Result<RecordsResponse, RelayError> {
         let mut response = self.response;
         for packed in self.values {
-            let packed = match packed.source {
-                Some(source) => fetch(gateway, source, &packed.id).await?,
-                None => {
-                    gateway.metrics.on_long_value("told");
-                    packed
-                }
+            let packed = if let Some(source) = packed.source {
+                fetch(gateway, source, &packed.id).await?
+            } else {
+                gateway.metrics.on_long_value("told");
+                packed
             };
             let base = base_of(&gateway.view(), &packed.id);
             let value = base.and_then(|base| decompress(&packed, &base));
@@ -341,27 +224,6 @@
         .ok_or_else(|| invalid("a value is compressed against one that is not known here"))
 }
 
-fn compress(value: &[u8], prefix: &[u8]) -> io::Result<Vec<u8>> {
-    let mut encoder = zstd::stream::Encoder::with_ref_prefix(Vec::new(), LEVEL, prefix)?;
-    encoder.include_checksum(true)?;
-    encoder.write_all(value)?;
-    encoder.finish()
-}
-
-fn decompress(packed: &PackedValue, prefix: &[u8]) -> io::Result<Vec<u8>> {
-    let length = usize::try_from(packed.length).unwrap_or(usize::MAX);
-    if length > MAX_VALUE_BYTES {
-        return Err(invalid("a compressed value is too long"));
-    }
-    let decoder = zstd::stream::Decoder::with_ref_prefix(&packed.bytes[..], prefix)?;
-    let mut value = Vec::with_capacity(length);
-    decoder.take(packed.length + 1).read_to_end(&mut value)?;
-    if value.len() != length {
-        return Err(invalid("a compressed value has another length"));
-    }
-    Ok(value)
-}
-
 fn invalid(error: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error)
 }
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::handed::{HandedAnswer, HandedRequest, Offer};
-use super::long_values::{PackedValue, ValueId};
+use super::packed_values::{PackedValue, ValueId};
 use super::peer_builds::PeerBuilds;
 use super::peer_format::PeerBuild;
 use super::relay::{
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::handed::{HandedAnswer, HandedRequest, Offer};
-use super::long_values::{PackedRecordsResponse, PackedValue, ValueId, kept_value, pack_response};
+use super::long_values::{PackedRecordsResponse, kept_value, pack_response};
+use super::packed_values::{PackedValue, ValueId};
 use super::peer_client::PeerClient;
 use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,9 +10,9 @@
 
 use super::calls::{BodyMemory, to_ms};
 use super::logging::LogBudget;
-use super::long_values::PackedValues;
 use super::metrics::Metrics;
 use super::offers::OfferState;
+use super::packed_values::PackedValues;
 use super::peers::Peers;
 use super::probing::ProbeWaits;
 use super::rate_limits::LimitState;
--- a/tests/gateway/long_values.rs
+++ b/tests/gateway/long_values.rs
@@ -12,6 +12,7 @@
 use chicorywing::gateway::view::Extent;
 use googletest::prelude::*;
 use tarpc::context;
+use tokio::time::Instant;
 
 use super::fake::{FakePlatform, FakeStore, own_address, settings};
 
@@ -113,6 +114,30 @@
     expect_that!(stored(&to), some(eq(&text)));
 }
 
+// Guards against a wait for a value that an instance has, as it read it from the store.
+#[gtest]
+#[tokio::test]
+async fn an_instance_hands_on_a_version_that_it_has_from_elsewhere() {
+    let (from, other, to) = (
+        instance("a").await,
+        instance("c").await,
+        instance("b").await,
+    );
+    let text = version(1, "abcdefgh-");
+    apply(&from, 0, &text);
+    apply(&other, 0, &text);
+    for _ in 0..FAN_OUT {
+        ask_as(&from, address(&other)).await;
+        ask_as(&from, own_address()).await;
+    }
+    let began = Instant::now();
+
+    fetch(&from, &to).await;
+
+    expect_that!(stored(&to), some(eq(&text)));
+    expect_that!(began.elapsed(), lt(Duration::from_millis(400)));
+}
+
 // Guards against an instance whose link carries a version for each of many others.
 #[gtest]
 #[tokio::test]
--- a/tests/peer_format/samples.rs
+++ b/tests/peer_format/samples.rs
@@ -10,8 +10,9 @@
 use chicorywing::decision::send_permits::{PermitDecision, PermitRequest};
 use chicorywing::decision::upstream_notices::{LeavingReport, NoticeReport, SilenceReport};
 use chicorywing::gateway::handed::{AttemptHistory, HandedAnswer, HandedEnd, HandedRequest, Offer};
-use chicorywing::gateway::long_values::{PackedRecordsResponse, PackedValue, ValueId};
+use chicorywing::gateway::long_values::PackedRecordsResponse;
 use chicorywing::gateway::outcome::Reason;
+use chicorywing::gateway::packed_values::{PackedValue, ValueId};
 use chicorywing::gateway::relay::{
     PermitResponse, RecordsResponse, RelayRequest, RelayResponse, StreamPosition, StreamRecords,
     ToldPositions,
