The pause after records counts from the beginning of their response

The reader pauses 250 ms after an answer of the operators' stream with records. An answer that the store has cut short, at 1 MiB, was paused after, too, while the newest version was still to be read. The pause now counts from the beginning of the response, so none is left after a long one. A short answer is as before.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::long_poll_checks::CheckedLongPoll;
 use super::relay;
@@ -34,7 +34,8 @@
         }
     }
 
-    /// Pause after a read with records, so that the next read returns several.
+    /// Pause after the beginning of a response with records, so that the next read returns
+    /// several. A long response outlasts it: the store may have cut it short.
     fn batch_pause(self) -> Duration {
         match self {
             Self::Operator => Duration::from_millis(250),
@@ -192,7 +193,8 @@
                 } else if is_first {
                     sleep(FIRST_READ_PAUSE).await;
                 } else if has_records {
-                    sleep(stream.batch_pause()).await;
+                    let begun_at = arrivals.begun_at().unwrap_or_else(Instant::now);
+                    sleep_until(begun_at + stream.batch_pause()).await;
                 }
             }
             Err(StoreError::Compacted) => {
