Sending: only ids of refused requests need another connection

Only a refusal can be believed twice, so only the ids of refused requests are kept. That test is unchanged.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -37,8 +37,8 @@
 const READ_RESERVE_BYTES: usize = 4 * 1024;
 /// Responses to other requests that are skipped before the exchange fails.
 const MAX_STRAY_RESPONSES: usize = 4;
-/// Responses after which a connection is not reused, so that their ids take little memory.
-const MAX_ANSWERED_IDS: usize = 4_096;
+/// Refusals after which a connection is not reused, so that their ids take little memory.
+const MAX_REFUSED_IDS: usize = 4_096;
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Unanswered TCP keep-alive probes after which the kernel closes the connection.
@@ -102,8 +102,8 @@
     /// Whether a response has carried its request's id, so that one without an id belongs
     /// to none.
     server_sends_ids: bool,
-    /// Hashes of the ids that responses have carried.
-    answered_ids: HashSet<u64>,
+    /// Hashes of the ids of requests that the server has refused.
+    refused_ids: HashSet<u64>,
 }
 
 /// The id by which a response is known to belong to its request.
@@ -146,7 +146,7 @@
             is_reusable: true,
             usable_until: Instant::now() + DEFAULT_IDLE_TIMEOUT,
             server_sends_ids: false,
-            answered_ids: HashSet::new(),
+            refused_ids: HashSet::new(),
         })
     }
 
@@ -209,19 +209,21 @@
         let response = self
             .exchange_matching(request, id_header, must_have_id, memory, None)
             .await?;
-        if let Some(id) = id_header.and_then(|name| response.headers.get(name)) {
-            self.server_sends_ids = true;
-            self.answered_ids.insert(hash(id));
-            self.is_reusable &= self.answered_ids.len() < MAX_ANSWERED_IDS;
-        }
+        self.server_sends_ids |= id_header.is_some_and(|name| response.headers.contains_key(name));
         Ok(response)
     }
 
-    /// Whether an exchange with this id has had its response, so that a second copy of that
-    /// could not be told from the response to another request with the id.
+    /// Records that the server has refused a request with this id.
+    pub fn note_refusal(&mut self, id: &HeaderValue) {
+        self.refused_ids.insert(hash(id));
+        self.is_reusable &= self.refused_ids.len() < MAX_REFUSED_IDS;
+    }
+
+    /// Whether the server has refused a request with this id, so that a second copy of the
+    /// refusal could not be told from the response to another request with the id.
     #[must_use]
-    pub fn has_answered(&self, id: &HeaderValue) -> bool {
-        self.answered_ids.contains(&hash(id))
+    pub fn has_refused(&self, id: &HeaderValue) -> bool {
+        self.refused_ids.contains(&hash(id))
     }
 
     /// Like [`Connection::exchange_within`], for probes: servers may send ids in their
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -92,7 +92,7 @@
         is_finished: false,
     };
     let id = call.id.as_ref();
-    let connection = if id.is_some_and(|id| !chosen.connection.has_answered(id)) {
+    let connection = if id.is_some_and(|id| !chosen.connection.has_refused(id)) {
         client
             .reuse_or_open(chosen.connection, &gateway.metrics)
             .await
@@ -142,7 +142,10 @@
             let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response, asks_silence);
-            if call.id.is_some() {
+            if let Some(id) = &call.id {
+                if matches!(sent, SendOutcome::NotRun) {
+                    connection.note_refusal(id);
+                }
                 client.release(connection);
             }
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
