Ejection: refusals alone do not eject the last upstream of a service

A refusal by an upstream that had reported a free slot counts as a failure, so two in a row ejected the upstream for 0.8 s, and each trial that met another refusal for twice as long, up to 6.4 s. With no other upstream left, requests found no candidate and were refused after 12 % of their objective.

If all upstreams of a service are ejected, those whose failures since the last served request were all refusals are now candidates: a refusal costs the request little and says that it has not run. A request that one serves ends the ejection. Failures that may have run, and upstreams that cannot be reached, eject as before, and so do refusals while another upstream is usable.

--- a/src/decision/ejection.rs
+++ b/src/decision/ejection.rs
@@ -45,6 +45,8 @@
     ejected_until_ms: u64,
     needs_trial: bool,
     is_trial_in_flight: bool,
+    /// Whether all failures since the last served request were refusals.
+    is_only_shed: bool,
 }
 
 impl EjectionState {
@@ -54,6 +56,13 @@
         now_ms >= self.ejected_until_ms && !(self.needs_trial && self.is_trial_in_flight)
     }
 
+    /// Whether the upstream is ejected for nothing but refusals. They cost a request little,
+    /// so it may be tried if there is no other one.
+    #[must_use]
+    pub fn is_ejected_by_refusals(&self, now_ms: u64) -> bool {
+        !self.is_usable(now_ms) && self.is_only_shed
+    }
+
     /// Whether the upstream was ejected and the next request decides if it is
     /// used again.
     #[must_use]
@@ -83,6 +92,15 @@
         if evidence != Evidence::Unreachable {
             self.unreachable_in_row = 0;
         }
+        if self.is_only_shed && evidence == Evidence::Served {
+            // It was tried for want of another one.
+            self.ejected_until_ms = now_ms;
+        }
+        self.is_only_shed = match evidence {
+            Evidence::Shed => self.failures_in_row == 0 || self.is_only_shed,
+            Evidence::TurnedAway => self.is_only_shed,
+            Evidence::Served | Evidence::Failed | Evidence::Unreachable => false,
+        };
         match evidence {
             Evidence::Served => {
                 self.failures_in_row = 0;
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -107,11 +107,20 @@
     let now_ms = gateway.now_ms();
     let mut usable = Vec::new();
     let mut candidates = Vec::new();
-    for upstream in gateway.eligible_upstreams(service) {
+    let eligible = gateway.eligible_upstreams(service);
+    let ejection_of = |upstream: &Upstream| {
+        let client = gateway.upstream_clients.get(&upstream.report);
+        client.ejection().clone()
+    };
+    let has_usable = eligible
+        .iter()
+        .any(|upstream| ejection_of(upstream).is_usable(now_ms));
+    for upstream in eligible {
         let client = gateway.upstream_clients.get(&upstream.report);
         let failure_share = {
             let ejection = client.ejection();
-            if !ejection.is_usable(now_ms) {
+            let is_last_resort = !has_usable && ejection.is_ejected_by_refusals(now_ms);
+            if !ejection.is_usable(now_ms) && !is_last_resort {
                 continue;
             }
             ejection.failure_share()
--- a/tests/gateway/repeated_refusals.rs
+++ b/tests/gateway/repeated_refusals.rs
@@ -331,3 +331,30 @@
     );
     expect_that!(second.status().as_u16(), eq(200));
 }
+
+// Guards against the only upstream of a service being left alone for seconds after it has
+// refused two requests, though it reports free slots and would run the next one.
+#[gtest]
+#[tokio::test]
+async fn the_only_upstream_gets_requests_after_it_has_refused_some() {
+    let scripted = ScriptedUpstream::start(|request| {
+        if request.number % 4 < 3 {
+            return Script::at_once(refusals(request.id).swap_remove(0), Ending::Keep);
+        }
+        Script::at_once(answer(request.id), Ending::Keep)
+    })
+    .await;
+    let route = once_route();
+    let gateway = gateway_to(&[], &route);
+    let report = report(SCRIPTED_ID, scripted.address, UpstreamState::Ready);
+    gateway.view().directory.put(report, 0);
+
+    let mut statuses = Vec::new();
+    for _ in 0..8 {
+        let outcome = forward(&gateway, &call(&route, "body")).await;
+        statuses.push(outcome.status().as_u16());
+    }
+
+    expect_that!(scripted.received(), eq(8));
+    expect_that!(statuses, eq(&vec![503, 503, 503, 200, 503, 503, 503, 200]));
+}
