Count what is written after a store's return at lower offsets

StreamCopy alone orders records now. In a new era the newest records and the log, if it is there, are compared with what was read; the copy ended at the first difference at the latest, so all from there on is new and read again. Before it offsets decide in one era, and across eras what records say: version, or born and seq. The whole state of another instance takes the same path.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -224,11 +224,10 @@
     true
 }
 
-/// Compares a store that has returned from a copy with what was read before; returns
+/// Merges what a store has that has returned from a copy with what was read before; returns
 /// whether the stream can be followed from there.
 ///
-/// `read` was the first answer in the new era; it is used if it is a snapshot and the
-/// store no longer has the records to compare.
+/// `read` was the first answer in the new era; only a snapshot can be merged.
 async fn follow_new_era<P: Platform>(
     gateway: &Gateway<P>,
     stream: Stream,
@@ -241,30 +240,43 @@
         (from, view.next_offset(stream))
     };
     let era = read.era;
-    tracing::warn!(%stream, era, from, end, "the store has returned from a copy; comparing");
     // The long polls of other streams may not end for a while.
     gateway.store_recheck.notify_waiters();
-    let compared = read_all(gateway, stream, from, era).await;
-    gateway.metrics.on_store_call(compared.is_ok());
-    match compared {
-        Ok(records) => {
-            let next_offset = records.next_offset;
-            gateway.apply_records(stream, records, Extent::NewEra { from }, "store");
-            let lost = gateway.view().copy(stream).lost_keys().len();
-            tracing::warn!(%stream, era, next_offset, lost, "records that the store has lost stay in force");
-            true
+    if is_loaded {
+        return false;
+    }
+    let store_end = read.next_offset;
+    tracing::warn!(%stream, era, from, end, store_end, "the store has returned from a copy; comparing");
+    let log = read_all(gateway, stream, from, era).await;
+    gateway.metrics.on_store_call(log.is_ok());
+    let mut newest = read;
+    match log {
+        Ok(log) => {
+            for mut record in log.records {
+                // It may have been in the copy.
+                record.era = 0;
+                newest.records.push(record);
+            }
+            newest.records.sort_by_key(|record| record.offset);
         }
-        Err(error) if !is_loaded && matches!(error, StoreError::Compacted) => {
+        Err(StoreError::Compacted) => {
             tracing::warn!(%stream, era, "the store lacks the records to compare; merging its newest");
-            gateway.apply_records(stream, read, Extent::Newest, "store");
-            true
         }
         Err(error) => {
             tracing::warn!(%stream, %error, "cannot compare the store's records; reading its newest");
             sleep(retry_delay(1)).await;
-            false
+            return false;
         }
     }
+    let merged = newest.records.len();
+    gateway.apply_records(stream, newest, Extent::Newest, "store");
+    let (next_offset, lost) = {
+        let view = gateway.view();
+        let copy = view.copy(stream);
+        (copy.next_offset, copy.lost_keys().len())
+    };
+    tracing::warn!(%stream, era, next_offset, merged, lost, "records that the store has lost stay in force");
+    true
 }
 
 /// Reads all records of an era from an offset on.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -280,9 +280,6 @@
             let events = match extent {
                 Extent::Following => view.apply(platform, stream, records, may_lapse, now_ms),
                 Extent::Newest => view.apply_snapshot(platform, stream, records, may_lapse, now_ms),
-                Extent::NewEra { from } => {
-                    view.apply_new_era(platform, stream, from, records, now_ms)
-                }
                 Extent::PeerState => {
                     view.apply_peer_state(platform, stream, records, may_lapse, now_ms)
                 }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -71,6 +71,10 @@
     InvalidResponse(String),
 }
 
+/// What a record says of its place among those of its key: it only rises, also when the
+/// store returns from a copy.
+pub type ValueOrder = (u64, u64);
+
 /// Why a record is invalid.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{0}")]
@@ -157,4 +161,21 @@
     /// Returns an error if the record does not describe a usable upstream.
     fn parse_upstream_report(&self, key: &str, value: &[u8])
     -> Result<UpstreamReport, RecordError>;
+
+    /// What a record says of its order: the version of a manifest, or the start of an
+    /// upstream's process and the number of its report.
+    fn value_order(&self, stream: Stream, key: &str, value: &[u8]) -> Option<ValueOrder> {
+        match stream {
+            Stream::Operator => match self.parse_operator_record(key, value) {
+                Ok(Some(OperatorRecord::Manifest(manifest))) => Some((manifest.version, 0)),
+                _ => None,
+            },
+            Stream::Upstreams => {
+                let report = self.parse_upstream_report(key, value).ok()?;
+                // Without a start, the number may be that of a process before.
+                (report.started_at_ms != 0).then_some((report.started_at_ms, report.sequence))
+            }
+            Stream::Instances => None,
+        }
+    }
 }
--- a/src/gateway/stream_copy.rs
+++ b/src/gateway/stream_copy.rs
@@ -1,14 +1,15 @@
 //! An instance's copy of one stream of the store, through eras of the store.
 //!
 //! When the store returns from a copy, its newest records are lost and their offsets are
-//! given out again. The instance finds the end of the part that both have by comparing
-//! what the store has now with what it read lately.
+//! given out again. What the store has then is compared with what was read: from the first
+//! difference on all records are new, and before it offsets, or what records say of
+//! themselves, tell which one is newer.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use super::store::{KeyedRecord, Records};
+use super::store::{KeyedRecord, Records, ValueOrder};
 
 /// Most tombstones of deleted keys that a stream keeps, so that other instances
 /// learn of the deletions.
@@ -16,6 +17,9 @@
 /// Age up to which read records are compared; a copy is some seconds old, and the store
 /// keeps its log for 20 s.
 const HISTORY_MS: u64 = 10_000;
+/// Newest records that are remembered at any age, as a copy may end before what was read
+/// lately; as many as of a snapshot.
+const MIN_HISTORY: usize = 1_024;
 /// Most remembered records, about twice those of 10 s at the target's size.
 const MAX_HISTORY: usize = 8_192;
 /// Distance from the end up to which the records of a snapshot are remembered.
@@ -30,6 +34,8 @@
     pub offset: u64,
     /// Encoded object.
     pub value: Option<Vec<u8>>,
+    /// Of a tombstone, what the deleted record said, if that is known.
+    deleted_order: Option<ValueOrder>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,18 +74,20 @@
         self.records.get(key)
     }
 
-    /// Whether a record is newer than the known one of its key: eras first, then offsets.
-    #[must_use]
-    pub fn is_newer(&self, record: &KeyedRecord) -> bool {
-        self.is_newer_in(record, self.era)
-    }
-
-    /// The same for a record that stands in the stream in `era`.
+    /// Whether a record that stands in the stream in `era` is newer than the known one of
+    /// its key.
     ///
-    /// One of an unknown era stands there at its offset, so within an era offsets decide. It
-    /// is older than a lost one of an earlier era: it may have been in the copy from which
-    /// the store has returned.
-    fn is_newer_in(&self, record: &KeyedRecord, era: u64) -> bool {
+    /// Offsets decide between records that stand in the same era, as one of an unknown era
+    /// does. Across eras offsets are given out again, so what the records say decides, as
+    /// `order` reads it, then the eras. One of an unknown era may have been in the copy from
+    /// which the store has returned, so it is newer for certain only at a higher offset.
+    #[must_use]
+    pub fn is_newer(
+        &self,
+        record: &KeyedRecord,
+        era: u64,
+        order: impl Fn(&[u8]) -> Option<ValueOrder>,
+    ) -> bool {
         let Some(known) = self.records.get(&record.key) else {
             return true;
         };
@@ -87,25 +95,37 @@
         if era == self.era && stands_here(known.era) && stands_here(record.era) {
             return known.offset < record.offset;
         }
-        (known.era, known.offset) < (record.era, record.offset)
+        let known_position = (known.era, known.offset);
+        let position = (record.era, record.offset);
+        if known_position == position {
+            return false;
+        }
+        let known_order = match &known.value {
+            Some(value) => order(value),
+            None => known.deleted_order,
+        };
+        let said = record.value.as_deref().and_then(order);
+        match (known_order, said) {
+            (Some(known), Some(said)) if known != said => known < said,
+            _ if known.era == 0 || record.era == 0 => known.offset < record.offset,
+            _ => known_position < position,
+        }
     }
 
-    /// Whether a record of another instance's state in `era` is news: newer than the known
-    /// one, or of a key that this copy lacks because it never stood in what was read.
+    /// Whether a record that another instance tells may be news: it is of a known key, or of
+    /// one that this copy lacks because it never stood in what was read.
     ///
     /// What the store held at the end of the first read is known, so an older record of a
     /// missing key belongs to one that has been deleted.
     #[must_use]
-    pub fn is_news(&self, record: &KeyedRecord, era: u64) -> bool {
-        if self.records.contains_key(&record.key) {
-            return self.is_newer_in(record, era);
-        }
+    pub fn may_be_news(&self, record: &KeyedRecord) -> bool {
         let is_of_this_era = record.era == 0 || record.era == self.era;
-        !(is_of_this_era && record.offset < self.snapshot_end)
+        let is_deleted = is_of_this_era && record.offset < self.snapshot_end;
+        self.records.contains_key(&record.key) || !is_deleted
     }
 
     /// Notes the present era at records of an unknown one, before a new era begins.
-    pub fn note_present_era(&mut self) {
+    fn note_present_era(&mut self) {
         for known in self.records.values_mut() {
             if known.era == 0 {
                 known.era = self.era;
@@ -113,23 +133,26 @@
         }
     }
 
-    /// Takes over the era that another instance knows of the same record.
-    pub fn correct_era(&mut self, record: &KeyedRecord) {
-        if let Some(known) = self.records.get_mut(&record.key)
-            && known.offset == record.offset
-            && known.value == record.value
+    /// Makes a record the newest of its key. One of an ended era is lost: the store lacks it.
+    pub fn insert(&mut self, record: KeyedRecord, order: impl Fn(&[u8]) -> Option<ValueOrder>) {
+        let is_lost = record.era != 0 && record.era < self.era && record.value.is_some();
+        if is_lost {
+            self.lost.insert(Arc::clone(&record.key));
+        } else {
+            self.lost.remove(&record.key);
+        }
+        let mut deleted_order = None;
+        if record.value.is_none()
+            && let Some(deleted) = self.records.get(&record.key)
         {
-            known.era = record.era;
+            let deleted_value = deleted.value.as_deref();
+            deleted_order = deleted_value.and_then(order).or(deleted.deleted_order);
         }
-    }
-
-    /// Makes a record the newest of its key.
-    pub fn insert(&mut self, record: KeyedRecord) {
-        self.lost.remove(&record.key);
         let known = KnownRecord {
             era: record.era,
             offset: record.offset,
             value: record.value,
+            deleted_order,
         };
         self.records.insert(record.key, known);
     }
@@ -168,13 +191,13 @@
         }
     }
 
-    /// Remembers a record that was read, for [`StreamCopy::common_end`].
+    /// Remembers a record that was read, to compare it with what stands there in a new era.
     pub fn remember(&mut self, record: &KeyedRecord, now_ms: u64) {
         let is_old = record.era == 0 && record.offset + SNAPSHOT_HISTORY < self.next_offset;
         if !is_old {
             self.history.push_back(HistoryEntry {
                 offset: record.offset,
-                hash: hash(record),
+                hash: hash(&record.key, record.value.as_deref()),
                 read_ms: now_ms,
             });
         }
@@ -190,41 +213,76 @@
         first.map_or(self.next_offset, |entry| entry.offset)
     }
 
-    /// End of the part that these records, read from `from` on, have in common with what
-    /// was read before.
-    #[must_use]
-    pub fn common_end(&self, from: u64, records: &[KeyedRecord]) -> u64 {
-        let known: BTreeMap<u64, u64> = self
+    /// Begins a new era of the store, from the newest record of each key, as the store or
+    /// another instance has them, and others of the log; returns the offset of the first
+    /// difference. Records of an unknown era from there on get the new one.
+    ///
+    /// Known records that do not stand in the new era are lost. The history need not
+    /// reach back to the end of the copy, so what lies before the first difference may be of
+    /// either era.
+    pub fn begin_era(&mut self, state: &mut Records) -> u64 {
+        self.note_present_era();
+        let fork = self.first_difference(state);
+        let ended_era = self.era;
+        self.era = state.era;
+        self.history.retain(|entry| entry.offset < fork);
+        for record in &mut state.records {
+            if record.era == 0 && record.offset >= fork {
+                record.era = state.era;
+            }
+        }
+        let mut standing = newest_by_key(state);
+        standing.retain(|_, record| record.era == 0);
+        for (key, known) in &mut self.records {
+            let record = standing.get(&**key);
+            let is_followed = record.is_some_and(|record| {
+                let is_same = record.offset == known.offset && record.value == known.value;
+                is_same || record.offset > known.offset
+            });
+            if is_followed && known.era == ended_era {
+                known.era = 0;
+                self.lost.remove(key);
+            } else if record.is_some() || known.value.is_some() {
+                self.lost.insert(Arc::clone(key));
+            }
+        }
+        fork
+    }
+
+    /// Lowest offset from which on nothing that stands in a new era is known here.
+    ///
+    /// The copy ended there at the latest: a record differs from the one that was read at
+    /// its offset, or the newest one of its key stands before the known one.
+    fn first_difference(&self, state: &Records) -> u64 {
+        let mut read: BTreeMap<u64, u64> = self
             .history
             .iter()
             .map(|entry| (entry.offset, entry.hash))
             .collect();
-        let mut end = from;
-        for record in records {
-            match known.get(&record.offset) {
-                Some(known) if *known == hash(record) => end = record.offset + 1,
-                Some(_) => break,
-                None => {}
+        for (key, known) in &self.records {
+            // A tombstone may stand for a deletion whose offset is not known.
+            if known.era == self.era && known.value.is_some() {
+                read.insert(known.offset, hash(key, known.value.as_deref()));
             }
         }
-        end.min(self.next_offset)
-    }
-
-    /// Begins a new era of the store, in which reads go on from `next_offset`; the records
-    /// of the keys in `lost` are not in the store any more.
-    pub fn begin_era(&mut self, era: u64, next_offset: u64, lost: Vec<Arc<str>>) {
-        self.note_present_era();
-        self.era = era;
-        self.next_offset = next_offset;
-        self.snapshot_end = next_offset;
-        self.lost.extend(lost);
-        for (key, known) in &mut self.records {
-            if !self.lost.contains(key) {
-                // It stands at the same offset in this era, too.
-                known.era = 0;
+        let mut fork = self.next_offset.min(state.next_offset);
+        for record in &state.records {
+            let hash = hash(&record.key, record.value.as_deref());
+            let is_here = record.era == 0 || record.era == state.era;
+            if is_here && read.get(&record.offset).is_some_and(|read| *read != hash) {
+                fork = fork.min(record.offset);
             }
         }
-        self.history.retain(|entry| entry.offset < next_offset);
+        for (key, record) in newest_by_key(state) {
+            let Some(known) = self.records.get(key) else {
+                continue;
+            };
+            let is_other = known.offset == record.offset && known.value != record.value;
+            if known.era == self.era && (is_other || known.offset > record.offset) {
+                fork = fork.min(known.offset);
+            }
+        }
+        fork
     }
 
     /// Whether the newest record of a key is lost, and not written again so far.
@@ -241,7 +299,7 @@
 
     /// Drops what is too old or too much to keep.
     pub fn prune(&mut self, now_ms: u64) {
-        while self.history.len() > 1 {
+        while self.history.len() > MIN_HISTORY {
             let oldest = self.history.front();
             let is_old = oldest.is_some_and(|entry| entry.read_ms + HISTORY_MS < now_ms);
             if !is_old && self.history.len() <= MAX_HISTORY {
@@ -265,9 +323,24 @@
     }
 }
 
-fn hash(record: &KeyedRecord) -> u64 {
+/// The newest record of each key that stands in the era of these.
+fn newest_by_key(state: &Records) -> BTreeMap<&str, &KeyedRecord> {
+    let mut newest: BTreeMap<&str, &KeyedRecord> = BTreeMap::new();
+    for record in &state.records {
+        if record.era != 0 && record.era != state.era {
+            continue;
+        }
+        let known = newest.entry(&record.key).or_insert(record);
+        if known.offset < record.offset {
+            *known = record;
+        }
+    }
+    newest
+}
+
+fn hash(key: &str, value: Option<&[u8]>) -> u64 {
     let mut hasher = DefaultHasher::new();
-    record.key.hash(&mut hasher);
-    record.value.hash(&mut hasher);
+    key.hash(&mut hasher);
+    value.hash(&mut hasher);
     hasher.finish()
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -27,12 +27,6 @@
     Following,
     /// The newest record of every key in the store.
     Newest,
-    /// All records in a new era of the store from an offset on, which
-    /// [`StreamCopy::history_start`] has given.
-    NewEra {
-        /// That offset.
-        from: u64,
-    },
     /// The whole state of another instance.
     PeerState,
 }
@@ -160,7 +154,8 @@
     /// as deleted.
     ///
     /// In a new era of the store, it counts as lost, as does one whose record is older
-    /// than the known one.
+    /// than the known one: they stay in force until they are written again. Records of the
+    /// log may stand among the newest ones there.
     pub fn apply_snapshot(
         &mut self,
         platform: &impl Platform,
@@ -169,8 +164,22 @@
         may_lapse: bool,
         now_ms: u64,
     ) -> Vec<Event> {
+        let mut newest = newest;
+        let mut events = Vec::new();
         let is_first = self.copy(stream).era == 0;
-        let is_new_era = !is_first && newest.era > self.copy(stream).era;
+        if !is_first && newest.era > self.copy(stream).era {
+            let end = newest.next_offset;
+            let fork = self.copy_mut(stream).begin_era(&mut newest);
+            for record in newest.records {
+                self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+            }
+            self.lapse_lost(stream, &BTreeSet::new(), now_ms, &mut events);
+            let copy = self.copy_mut(stream);
+            // Deletions in the new era follow from there.
+            copy.next_offset = fork;
+            copy.snapshot_end = end;
+            return events;
+        }
         let present: BTreeSet<Arc<str>> = newest
             .records
             .iter()
@@ -178,39 +187,11 @@
             .collect();
         let mut missing = Vec::new();
         for (key, known) in self.copy(stream).iter() {
-            let may_be_newer = !is_new_era && known.offset >= newest.next_offset;
+            let may_be_newer = known.offset >= newest.next_offset;
             if known.value.is_some() && !present.contains(key) && !may_be_newer {
                 missing.push(Arc::clone(key));
             }
         }
-        let mut events = Vec::new();
-        if is_new_era {
-            let copy = self.copy_mut(stream);
-            let mut lost = missing;
-            for record in &newest.records {
-                let known = copy.get(&record.key);
-                if known.is_some_and(|known| known.offset > record.offset) {
-                    lost.push(Arc::clone(&record.key));
-                }
-            }
-            copy.begin_era(newest.era, 0, lost);
-            self.lapse_lost(stream, now_ms, &mut events);
-            for record in newest.records {
-                let known = self.copy(stream).get(&record.key);
-                let is_stale = known.is_some_and(|known| known.offset >= record.offset);
-                if !is_stale {
-                    let record = KeyedRecord {
-                        era: newest.era,
-                        ..record
-                    };
-                    self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
-                }
-            }
-            let copy = self.copy_mut(stream);
-            copy.next_offset = newest.next_offset;
-            copy.snapshot_end = newest.next_offset;
-            return events;
-        }
         for key in missing {
             if self.copy(stream).is_lost(&key) {
                 continue;
@@ -239,34 +220,6 @@
         events
     }
 
-    /// Applies the records from `from`, which [`StreamCopy::history_start`] has given, on,
-    /// after the store has returned from a copy.
-    ///
-    /// Records up to the first difference are known. Known records beyond it are lost:
-    /// they stay in force until they are written again. All records from it on are new.
-    pub fn apply_new_era(
-        &mut self,
-        platform: &impl Platform,
-        stream: Stream,
-        from: u64,
-        records: Records,
-        now_ms: u64,
-    ) -> Vec<Event> {
-        let mut events = Vec::new();
-        let copy = self.copy_mut(stream);
-        let common_end = copy.common_end(from, &records.records);
-        let mut lost = Vec::new();
-        for (key, known) in copy.iter() {
-            if known.offset >= common_end {
-                lost.push(Arc::clone(key));
-            }
-        }
-        copy.begin_era(records.era, common_end, lost);
-        self.lapse_lost(stream, now_ms, &mut events);
-        events.extend(self.apply(platform, stream, records, true, now_ms));
-        events
-    }
-
     /// Applies the whole state of a stream as another instance knows it.
     ///
     /// Records that are newer here stay, and so do keys that the other one lacks.
@@ -278,23 +231,31 @@
         may_lapse: bool,
         now_ms: u64,
     ) -> Vec<Event> {
+        let mut state = state;
         let mut events = Vec::new();
-        let is_new_era = state.era > self.copy(stream).era;
-        if is_new_era {
+        let mut lapsed: BTreeSet<Arc<str>> = self.copy(stream).lost_keys().into_iter().collect();
+        if state.era > self.copy(stream).era {
             let copy = self.copy_mut(stream);
-            copy.note_present_era();
-            for record in &state.records {
-                copy.correct_era(record);
-            }
-            copy.era = state.era;
+            copy.begin_era(&mut state);
             copy.next_offset = state.next_offset;
             copy.snapshot_end = 0;
         }
-        for record in state.records {
-            if self.copy(stream).is_news(&record, state.era) {
-                self.apply_record(platform, stream, record, may_lapse, now_ms, &mut events);
+        for mut record in state.records {
+            let copy = self.copy(stream);
+            if !copy.may_be_news(&record) {
+                continue;
+            }
+            if record.era == 0 && state.era < copy.era {
+                // It stands in an era that has ended, and maybe not in the present one.
+                record.era = state.era;
+            }
+            let order = |value: &[u8]| platform.value_order(stream, &record.key, value);
+            if copy.is_newer(&record, state.era, order) {
+                lapsed.remove(&record.key);
+                self.put_record(platform, stream, record, may_lapse, now_ms, &mut events);
             }
         }
+        self.lapse_lost(stream, &lapsed, now_ms, &mut events);
         let copy = self.copy_mut(stream);
         copy.told_era = state.era;
         if state.era == copy.era {
@@ -304,13 +265,22 @@
         events
     }
 
-    /// Keeps upstreams whose entries are lost until they have had the time to write them
-    /// again.
-    fn lapse_lost(&mut self, stream: Stream, now_ms: u64, events: &mut Vec<Event>) {
+    /// Keeps upstreams whose entries are lost, other than those that have lapsed so, until
+    /// they have had the time to write them again.
+    fn lapse_lost(
+        &mut self,
+        stream: Stream,
+        lapsed: &BTreeSet<Arc<str>>,
+        now_ms: u64,
+        events: &mut Vec<Event>,
+    ) {
         if stream != Stream::Upstreams {
             return;
         }
         for key in self.upstream_records.lost_keys() {
+            if lapsed.contains(&key) {
+                continue;
+            }
             let change = self.directory.lapse(&key, LOST_GRACE_MS, now_ms);
             if change != Change::None {
                 events.push(Event::Upstream(key, change));
@@ -327,9 +297,22 @@
         now_ms: u64,
         events: &mut Vec<Event>,
     ) {
-        if !self.copy(stream).is_newer(&record) {
-            return;
+        let order = |value: &[u8]| platform.value_order(stream, &record.key, value);
+        let copy = self.copy(stream);
+        if copy.is_newer(&record, copy.era, order) {
+            self.put_record(platform, stream, record, may_lapse, now_ms, events);
         }
+    }
+
+    fn put_record(
+        &mut self,
+        platform: &impl Platform,
+        stream: Stream,
+        record: KeyedRecord,
+        may_lapse: bool,
+        now_ms: u64,
+        events: &mut Vec<Event>,
+    ) {
         let value = record.value.as_deref();
         let applied = match stream {
             Stream::Operator => self.apply_operator_record(platform, &record.key, value),
@@ -343,7 +326,9 @@
             Ok(None) => {}
             Err(error) => events.push(Event::InvalidRecord(stream, Arc::clone(&record.key), error)),
         }
-        self.copy_mut(stream).insert(record);
+        let key = Arc::clone(&record.key);
+        let order = |value: &[u8]| platform.value_order(stream, &key, value);
+        self.copy_mut(stream).insert(record, order);
     }
 
     fn apply_operator_record(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod reader_role;
 mod server;
 mod store_copy;
+mod store_fork;
 mod store_trials;
 mod upstream;
 mod upstream_answers;
--- a/tests/peer_state.rs
+++ b/tests/peer_state.rs
@@ -78,7 +78,7 @@
         records: Vec::new(),
         next_offset: 9,
     };
-    view.apply_new_era(&platform, Stream::Operator, 9, nothing, 1);
+    view.apply_snapshot(&platform, Stream::Operator, nothing, false, 1);
     let snapshot = Records {
         era: 2,
         ..version(7, 0, 1)
--- a/tests/store_eras/model.rs
+++ b/tests/store_eras/model.rs
@@ -156,18 +156,21 @@
                 self.is_loaded = true;
                 continue;
             }
-            let from = self.view.copy(stream).history_start(now_ms);
-            if let Some(records) = store.read(from) {
-                self.view
-                    .apply_new_era(platform, stream, from, records, now_ms);
-                self.is_loaded = true;
-            } else if self.is_loaded {
+            if self.is_loaded {
                 self.is_loaded = false;
-            } else {
-                self.view
-                    .apply_snapshot(platform, stream, answer, false, now_ms);
-                self.is_loaded = true;
+                continue;
             }
+            let mut newest = answer;
+            let from = self.view.copy(stream).history_start(now_ms);
+            if let Some(log) = store.read(from) {
+                for record in log.records {
+                    newest.records.push(KeyedRecord { era: 0, ..record });
+                }
+                newest.records.sort_by_key(|record| record.offset);
+            }
+            self.view
+                .apply_snapshot(platform, stream, newest, false, now_ms);
+            self.is_loaded = true;
         }
     }
 
