--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod scripted;
 mod server;
 mod store_copy;
+mod store_fork;
 mod store_trials;
 mod upstream;
 mod upstream_answers;
