Long values: tell them apart by the era of their record

Callers would have got 404 on the routes of a version that the store wrote at an offset which it had given out before. After a return from a copy, an instance tells the lost version, as long as nobody has written it again, under the era of its whole copy. The next version stands at the same offset, so it had the same id, and the compressed bytes of the lost one were sent in its place; the followers took them for the new version.

The id now names the era in which the record was written, which is another one for the lost record. The bytes between instances have the same form.

--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -70,7 +70,7 @@
                 position.and_then(|position| known_base(&gateway.view(), position, &record.key));
             let id = ValueId {
                 stream: told.stream,
-                era: told.records.era,
+                era: era_of(record.era, told.records.era),
                 offset: record.offset,
                 key: Arc::clone(&record.key),
                 base_offset: base.as_ref().map(|base| base.offset),
@@ -129,7 +129,7 @@
     let copy = view.copy(id.stream);
     let known = copy
         .get(&id.key)
-        .filter(|known| (copy.era, known.offset) == (id.era, id.offset))?;
+        .filter(|known| (era_of(known.era, copy.era), known.offset) == (id.era, id.offset))?;
     let value = known.value.clone()?;
     let Some(base_offset) = id.base_offset else {
         return Some((value, Vec::new()));
@@ -139,6 +139,15 @@
     (replaced.offset == base_offset).then_some((value, base))
 }
 
+/// The era of a record's offset; one of an unknown era stands in that of the copy.
+fn era_of(record_era: u64, copy_era: u64) -> u64 {
+    if record_era == 0 {
+        copy_era
+    } else {
+        record_era
+    }
+}
+
 /// The value before the newest one of a key, if an instance at `position` has read it last.
 fn known_base(view: &View, position: &StreamPosition, key: &str) -> Option<Base> {
     let replaced = view.copy(position.stream).replaced(key)?;
--- a/src/gateway/packed_values.rs
+++ b/src/gateway/packed_values.rs
@@ -31,7 +31,8 @@
 pub struct ValueId {
     /// Stream of the record.
     pub stream: Stream,
-    /// Era of the store to which the offsets belong.
+    /// Era of the store in which the record was written, or which has it at this offset. A
+    /// later era may give the offset out again while the record is still told as lost.
     pub era: u64,
     /// Offset of the record.
     pub offset: u64,
--- a/tests/gateway/long_values.rs
+++ b/tests/gateway/long_values.rs
@@ -38,12 +38,17 @@
     format!("{number} {}", filler.repeat(LONG / filler.len()))
 }
 
-/// Applies a version that stands at `offset`.
+/// Applies a version that stands at `offset` in the first era.
 fn apply(gateway: &Gateway<FakePlatform>, offset: u64, text: &str) {
+    apply_in(gateway, 1, offset, text);
+}
+
+/// Applies a version that stands at `offset` in an era of the store.
+fn apply_in(gateway: &Gateway<FakePlatform>, era: u64, offset: u64, text: &str) {
     let records = Records {
-        era: 1,
+        era,
         records: vec![KeyedRecord {
-            era: 1,
+            era,
             offset,
             key: "config".into(),
             value: Some(text.as_bytes().to_vec()),
@@ -98,6 +103,29 @@
     expect_that!(stored(&to), some(eq(&text)));
 }
 
+// Guards against a version that is told with the bytes of another one, which the store has lost
+// and whose offset it has given out again.
+#[gtest]
+#[tokio::test]
+async fn a_version_at_an_offset_given_out_again_arrives_as_it_is() {
+    let (from, to) = (instance("a").await, instance("b").await);
+    apply(&from, 0, &version(1, "abcdefgh-"));
+    fetch(&from, &to).await;
+    let without_it = Records {
+        era: 2,
+        records: Vec::new(),
+        next_offset: 0,
+    };
+    from.apply_records(Stream::Operator, without_it, Extent::Newest, "test");
+    fetch(&from, &to).await;
+    let text = version(2, "12345678-");
+    apply_in(&from, 2, 0, &text);
+
+    fetch(&from, &to).await;
+
+    expect_that!(stored(&to), some(eq(&text)));
+}
+
 // Guards against a version that is lost with the instance from which it should be fetched.
 #[gtest]
 #[tokio::test]
