Long values: those that ask again fetch them from each other

Callers would get 404 on routes of a long version, 2.5 s after it, if an instance froze that should hand it on: all instances behind it, 20 of 36 for one of the first four, asked the reader for the whole value at once, 69 KB each in 0.4 s over 10 Mbit/s.

Those that ask again form a second order of their own: the first four get the value from the reader, the others from these, which have just shown that they are alive. Only one that asks for the third time gets it directly in any case.

--- a/src/gateway/packed_values.rs
+++ b/src/gateway/packed_values.rs
@@ -66,27 +66,27 @@
 #[derive(Debug)]
 struct KeptValue {
     packed: PackedValue,
-    /// Instances that were told of it lately, in order.
-    told: Vec<SocketAddr>,
+    /// Instances that were told of it lately, in order: those that asked, and those of them
+    /// that asked again, as the instance from which to fetch it did not send it.
+    told: [Vec<SocketAddr>; 2],
     /// When the last one asked.
     asked_at: Instant,
 }
 
 impl KeptValue {
     /// The instance from which `asker` is to fetch the value; `None` if it gets it from here,
-    /// as the first ones do, and one that asks again.
+    /// as the first ones do, and one that asks for the third time.
     fn source_for(&mut self, asker: SocketAddr) -> Option<SocketAddr> {
         // Those that ask later do not share the link with these.
         if self.asked_at.elapsed() > WAVE_PAUSE {
-            self.told.clear();
+            self.told = Default::default();
         }
         self.asked_at = Instant::now();
-        if self.told.contains(&asker) {
-            return None;
-        }
-        self.told.push(asker);
-        let parent = (self.told.len() - 1) / FAN_OUT;
-        parent.checked_sub(1).map(|parent| self.told[parent])
+        let mut rounds = self.told.iter_mut();
+        let told = rounds.find(|told| !told.contains(&asker))?;
+        told.push(asker);
+        let parent = (told.len() - 1) / FAN_OUT;
+        parent.checked_sub(1).map(|parent| told[parent])
     }
 }
 
@@ -145,7 +145,7 @@
     kept.truncate(MAX_KEPT - 1);
     kept.push_front(KeptValue {
         packed,
-        told: Vec::new(),
+        told: Default::default(),
         asked_at: Instant::now(),
     });
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod links;
 mod long_values;
 mod long_versions;
+mod many_followers;
 mod narrow_links;
 mod odd_entries;
 mod outcomes;
--- a/tests/gateway/narrow_links.rs
+++ b/tests/gateway/narrow_links.rs
@@ -28,19 +28,19 @@
 
 /// The link of one instance; what it sends shares the rate in the order of arrival.
 #[derive(Debug)]
-struct NarrowLink {
+pub struct NarrowLink {
     /// When it has carried all that was sent; `None` while it is wide.
     free_at: Mutex<Option<Instant>>,
 }
 
 impl NarrowLink {
-    fn wide() -> Arc<Self> {
+    pub fn wide() -> Arc<Self> {
         Arc::new(Self {
             free_at: Mutex::default(),
         })
     }
 
-    fn narrow(&self) {
+    pub fn narrow(&self) {
         *self.free_at.lock().unwrap() = Some(Instant::now());
     }
 
@@ -59,7 +59,7 @@
     }
 
     /// Starts a proxy before an instance, whose answers pass this link; returns its address.
-    async fn before(self: &Arc<Self>, instance: SocketAddr) -> SocketAddr {
+    pub async fn before(self: &Arc<Self>, instance: SocketAddr) -> SocketAddr {
         let listener = TcpListener::bind(own_address()).await.unwrap();
         let address = listener.local_addr().unwrap();
         let link = Arc::clone(self);
@@ -95,7 +95,7 @@
 }
 
 /// A version with `routes` routes of random names, the first ones the same at each length.
-fn long_version(version: u64, routes: usize) -> String {
+pub fn long_version(version: u64, routes: usize) -> String {
     let mut rng = SmallRng::seed_from_u64(32);
     let mut word = |length: usize| -> String {
         let letters = b"abcdefghijklmnopqrstuvwxyz0123456789";
