Tell many records of a stream compressed, once for all that lack them

After a return of the store from a copy each follower asks for the whole state of upstreams: 319 entries, 70 KB, which the reader's link of 10 Mbit/s carried for each of 36 followers at once. Streams of 20 records and more are now compressed together, once for all instances that lack the same.

--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::packed_values::{PackedValue, ValueId, decompress, pack};
+use super::packed_values::{PackedStream, PackedValue, ValueId, decompress, pack};
 use super::peer_client::{PeerClient, RelayError};
 use super::relay::{RecordsResponse, StreamPosition};
 use super::state::Gateway;
@@ -24,6 +24,9 @@
 /// Length from which a value is compressed, in bytes; below it, the frame of an answer is
 /// mostly other fields.
 pub const LONG_VALUE_BYTES: usize = 4 * 1024;
+/// Number of records from which those of a stream are compressed together: entries of upstreams
+/// have some 200 bytes each, so these have the length of a long value.
+const MANY_RECORDS: usize = 20;
 /// Time in which an instance that was told a value before must send it; a third of the
 /// platform's bound of 2 s on a new manifest, so that there is time for another source.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -34,6 +37,8 @@
     pub response: RecordsResponse,
     /// The long values.
     pub values: Vec<PackedValue>,
+    /// Streams of many records, which the response lacks.
+    pub streams: Vec<PackedStream>,
 }
 
 /// The value that a long one replaces.
@@ -88,7 +93,36 @@
             }
         }
     }
-    PackedRecordsResponse { response, values }
+    let streams = take_long_streams(gateway, &mut response);
+    PackedRecordsResponse {
+        response,
+        values,
+        streams,
+    }
+}
+
+/// Compresses the streams of a response that have many records.
+fn take_long_streams<P: Platform>(
+    gateway: &Gateway<P>,
+    response: &mut RecordsResponse,
+) -> Vec<PackedStream> {
+    let mut packed = Vec::new();
+    let mut short = Vec::new();
+    for told in response.streams.drain(..) {
+        if told.records.records.len() < MANY_RECORDS {
+            short.push(told);
+            continue;
+        }
+        match gateway.packed_values.pack_stream(&told) {
+            Ok(stream) => packed.push(stream),
+            Err(error) => {
+                tracing::warn!(stream = %told.stream, %error, "cannot compress records; sending them as they are");
+                short.push(told);
+            }
+        }
+    }
+    response.streams = short;
+    packed
 }
 
 /// The compressed value that another instance has been told to fetch from here; waits up to
@@ -170,6 +204,10 @@
         gateway: &Gateway<P>,
     ) -> Result<RecordsResponse, RelayError> {
         let mut response = self.response;
+        for packed in &self.streams {
+            let told = packed.unpack().map_err(RelayError::InvalidValue)?;
+            response.streams.push(told);
+        }
         for packed in self.values {
             let packed = if let Some(source) = packed.source {
                 fetch(gateway, source, &packed.id).await?
@@ -178,7 +216,7 @@
                 packed
             };
             let base = base_of(&gateway.view(), &packed.id);
-            let value = base.and_then(|base| decompress(&packed, &base));
+            let value = base.and_then(|base| decompress(packed.length, &packed.bytes, &base));
             let value = value.map_err(RelayError::InvalidValue)?;
             let mut records = response
                 .streams
--- a/src/gateway/packed_values.rs
+++ b/src/gateway/packed_values.rs
@@ -6,9 +6,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::peer_format::{decode, encode};
+use super::relay::StreamRecords;
 use super::store::Stream;
 
 /// Longest value that is decompressed, in bytes; a frame between instances has at most that.
@@ -57,10 +60,22 @@
     pub source: Option<SocketAddr>,
 }
 
-/// Compressed values that are kept for the next instance that asks.
+/// The records of a stream that another instance lacks, compressed as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedStream {
+    /// Length of the encoded records, in bytes.
+    pub length: u64,
+    /// The records, encoded with names and compressed by zstd with a checksum.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// Compressed values and streams that are kept for the next instance that asks.
 #[derive(Debug, Default)]
 pub struct PackedValues {
     kept: Mutex<VecDeque<KeptValue>>,
+    /// With the encoded records of each.
+    streams: Mutex<VecDeque<(Bytes, PackedStream)>>,
 }
 
 #[derive(Debug)]
@@ -90,6 +105,16 @@
     }
 }
 
+impl PackedStream {
+    /// The records as they were.
+    ///
+    /// # Errors
+    /// Returns an error if they are too long, or are no records.
+    pub fn unpack(&self) -> io::Result<StreamRecords> {
+        decode(&decompress(self.length, &self.bytes, &[])?)
+    }
+}
+
 impl PackedValues {
     /// The compressed value for an instance that asks: itself, or the instance to fetch it
     /// from if enough others get it from here.
@@ -120,6 +145,26 @@
         Ok(found.packed.clone())
     }
 
+    /// The records of a stream, compressed once for all instances that lack the same.
+    ///
+    /// # Errors
+    /// Returns an error if the records cannot be encoded or compressed.
+    pub fn pack_stream(&self, told: &StreamRecords) -> io::Result<PackedStream> {
+        let encoded = encode(told)?;
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = streams.iter().find(|(known, _)| *known == encoded);
+        if let Some((_, packed)) = kept {
+            return Ok(packed.clone());
+        }
+        let packed = PackedStream {
+            length: u64::try_from(encoded.len()).unwrap_or(u64::MAX),
+            bytes: compress(&encoded, &[])?,
+        };
+        streams.truncate(MAX_KEPT - 1);
+        streams.push_front((encoded, packed.clone()));
+        Ok(packed)
+    }
+
     /// Keeps a value that another instance has told, for those that fetch it from here.
     pub fn keep(&self, packed: PackedValue) {
         let mut kept = self.lock();
@@ -184,14 +229,15 @@
 ///
 /// # Errors
 /// Returns an error if the value is too long, or was compressed against another one.
-pub fn decompress(packed: &PackedValue, prefix: &[u8]) -> io::Result<Vec<u8>> {
-    let length = usize::try_from(packed.length).unwrap_or(usize::MAX);
+pub fn decompress(length: u64, bytes: &[u8], prefix: &[u8]) -> io::Result<Vec<u8>> {
+    let limit = length.saturating_add(1);
+    let length = usize::try_from(length).unwrap_or(usize::MAX);
     if length > MAX_VALUE_BYTES {
         return Err(invalid("a compressed value is too long"));
     }
-    let decoder = zstd::stream::Decoder::with_ref_prefix(&packed.bytes[..], prefix)?;
+    let decoder = zstd::stream::Decoder::with_ref_prefix(bytes, prefix)?;
     let mut value = Vec::with_capacity(length);
-    decoder.take(packed.length + 1).read_to_end(&mut value)?;
+    decoder.take(limit).read_to_end(&mut value)?;
     if value.len() != length {
         return Err(invalid("a compressed value has another length"));
     }
--- a/tests/peer_format/samples.rs
+++ b/tests/peer_format/samples.rs
@@ -12,7 +12,7 @@
 use chicorywing::gateway::handed::{AttemptHistory, HandedAnswer, HandedEnd, HandedRequest, Offer};
 use chicorywing::gateway::long_values::PackedRecordsResponse;
 use chicorywing::gateway::outcome::Reason;
-use chicorywing::gateway::packed_values::{PackedValue, ValueId};
+use chicorywing::gateway::packed_values::{PackedStream, PackedValue, ValueId};
 use chicorywing::gateway::relay::{
     PermitResponse, RecordsResponse, RelayRequest, RelayResponse, StreamPosition, StreamRecords,
     ToldPositions,
@@ -271,6 +271,10 @@
             RelayResponse::PackedRecords(PackedRecordsResponse {
                 response: records_answer(),
                 values: vec![packed_value("10.1.0.19:7200".parse().ok())],
+                streams: vec![PackedStream {
+                    length: 70_000,
+                    bytes: vec![40, 181, 47, 253],
+                }],
             }),
         ),
         (
