A response that has begun to arrive outlasts the reader role

Callers got 404 on routes of a long version that had been on the way to their instance from the store. When the reader did not answer in time, all instances read the store themselves; the next reader then said at once that it reads the store, so they gave up the role, and with it the response half-read.

A read ends with the role only as long as its response has not begun. Its records are news here anyway, and the time limits of responses still hold; an error of such a read begins no outage.

Test: a_long_version_that_has_begun_to_arrive_is_taken_when_the_reader_role_is_lost failed without this change (1 of 1, "not within 2.5s"), passes with it.

--- a/src/connection/arrivals.rs
+++ b/src/connection/arrivals.rs
@@ -1,6 +1,6 @@
 //! Time limits for a response whose length is not known before it arrives.
 
-use std::future::Future;
+use std::future::{Future, pending};
 use std::time::Duration;
 
 use thiserror::Error;
@@ -64,6 +64,16 @@
         let _ = latest.wait_for(|latest| latest.begun_at.is_some()).await;
     }
 
+    /// Waits for an event that ends the call; for ever if the response has begun to arrive by
+    /// then.
+    pub async fn unless_begun<T>(&self, event: impl Future<Output = T>) -> T {
+        let happened = event.await;
+        if self.begun_at().is_some() {
+            pending::<()>().await;
+        }
+        happened
+    }
+
     /// Time from the call to the beginning of the response; to now before that, and for a
     /// short one.
     #[must_use]
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -153,7 +153,8 @@
             () = gateway.operator_check_unanswered.notified(), if is_checked => {
                 Err(StoreError::Unreachable("no answer to the check of a long poll".to_owned()))
             }
-            _ = wait_for_role(&mut role, false) => {
+            // Records that have begun to arrive count: the other instance may still lack them.
+            _ = arrivals.unless_begun(wait_for_role(&mut role, false)) => {
                 contact.reset(stream);
                 continue;
             }
@@ -201,6 +202,10 @@
                 tracing::info!(%stream, "old records are compacted; loading a new snapshot");
                 is_loaded = false;
             }
+            Err(error) if !*role.borrow() => {
+                tracing::info!(%stream, %error, "a read ended without records after the reader role");
+                contact.reset(stream);
+            }
             Err(error) => {
                 // A long poll could hang beyond the store's recovery.
                 needs_short_poll = true;
--- a/tests/gateway/long_versions.rs
+++ b/tests/gateway/long_versions.rs
@@ -297,3 +297,19 @@
     let first_pause = store.pauses.lock().unwrap()[0];
     expect_that!(first_pause, lt(BATCH_PAUSE));
 }
+
+// Guards against a long version that is thrown away while it arrives, since another instance
+// says that it reads the store.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_version_that_has_begun_to_arrive_is_taken_when_the_reader_role_is_lost() {
+    let (store, address) = NarrowStore::start().await;
+    let gateway = gateway_with_long_poll(&store, address).await;
+    let size = store.write(1, ROUTES);
+    sleep(Duration::from_millis(200)).await;
+
+    gateway.set_reader_role(false, "test");
+
+    within(CONFIG_BOUND, "version 1", || version(&gateway) == 1).await;
+    expect_that!(store.sent_bytes(), le(once(size)));
+}
