Long values: those that were read meanwhile are not needed

Readers of two data centres read a version from the store at the same time. The one that also polls the other one lacked the value against which it was compressed, as it had the new one, so it asked for whole values for the life of the connection, without a line. Found by review, by reading. A value that is known meanwhile is neither fetched nor decompressed; a failure is logged and concerns one answer. The window of zstd is bounded, too.

--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -19,6 +19,7 @@
 use super::relay::{RecordsResponse, StreamPosition};
 use super::state::Gateway;
 use super::store::Platform;
+use super::stream_copy::KnownRecord;
 use super::view::View;
 
 /// Length from which a value is compressed, in bytes; below it, the frame of an answer is
@@ -209,32 +210,54 @@
             response.streams.push(told);
         }
         for packed in self.values {
-            let packed = if let Some(source) = packed.source {
-                fetch(gateway, source, &packed.id).await?
-            } else {
-                gateway.metrics.on_long_value("told");
-                packed
+            let id = packed.id.clone();
+            let known = known_meanwhile(&gateway.view(), &id);
+            let value = match known {
+                Some(known) => known.value,
+                None => Some(receive(gateway, packed).await?),
             };
-            let base = base_of(&gateway.view(), &packed.id);
-            let value = base.and_then(|base| decompress(packed.length, &packed.bytes, &base));
-            let value = value.map_err(RelayError::InvalidValue)?;
             let mut records = response
                 .streams
                 .iter_mut()
-                .filter(|told| told.stream == packed.id.stream)
+                .filter(|told| told.stream == id.stream)
                 .flat_map(|told| &mut told.records.records);
             let record = records
-                .find(|record| record.key == packed.id.key)
+                .find(|record| record.key == id.key)
                 .ok_or_else(|| invalid("it has the value of a record that it lacks"))
                 .map_err(RelayError::InvalidValue)?;
-            record.value = Some(value);
-            gateway.packed_values.keep(packed);
-            gateway.notify_changed();
+            record.value = value;
         }
         Ok(response)
     }
 }
 
+/// The record with this id or a newer one of its key, if this instance has read it meanwhile,
+/// for example from the store.
+fn known_meanwhile(view: &View, id: &ValueId) -> Option<KnownRecord> {
+    let copy = view.copy(id.stream);
+    let known = copy.get(&id.key)?;
+    let is_of_era = era_of(known.era, copy.era) == id.era;
+    (is_of_era && known.offset >= id.offset).then(|| known.clone())
+}
+
+/// A long value that another instance has told of, kept for those that fetch it from here.
+async fn receive<P: Platform>(
+    gateway: &Gateway<P>,
+    packed: PackedValue,
+) -> Result<Vec<u8>, RelayError> {
+    let packed = if let Some(source) = packed.source {
+        fetch(gateway, source, &packed.id).await?
+    } else {
+        gateway.metrics.on_long_value("told");
+        packed
+    };
+    gateway.packed_values.keep(packed.clone());
+    gateway.notify_changed();
+    let base = base_of(&gateway.view(), &packed.id);
+    let value = base.and_then(|base| decompress(packed.length, &packed.bytes, &base));
+    value.map_err(RelayError::InvalidValue)
+}
+
 /// Fetches a value from an instance that was told it before.
 async fn fetch<P: Platform>(
     gateway: &Gateway<P>,
--- a/src/gateway/packed_values.rs
+++ b/src/gateway/packed_values.rs
@@ -16,6 +16,9 @@
 
 /// Longest value that is decompressed, in bytes; a frame between instances has at most that.
 const MAX_VALUE_BYTES: usize = 8 * 1024 * 1024;
+/// Binary logarithm of the longest window of zstd, as long as the longest value; another
+/// instance would otherwise decide how much memory it takes.
+const MAX_WINDOW_LOG: u32 = 23;
 /// Compressed values that are kept: those of the operators' record, whole and against the one
 /// before, for instances that have read different versions.
 const MAX_KEPT: usize = 4;
@@ -235,7 +238,8 @@
     if length > MAX_VALUE_BYTES {
         return Err(invalid("a compressed value is too long"));
     }
-    let decoder = zstd::stream::Decoder::with_ref_prefix(bytes, prefix)?;
+    let mut decoder = zstd::stream::Decoder::with_ref_prefix(bytes, prefix)?;
+    decoder.window_log_max(MAX_WINDOW_LOG)?;
     let mut value = Vec::with_capacity(length);
     decoder.take(limit).read_to_end(&mut value)?;
     if value.len() != length {
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -143,14 +143,18 @@
     ) -> Result<bool, RelayError> {
         let mut response = self.ask_for_records(gateway, wait).await;
         for _ in 0..MAX_VALUE_RETRIES {
-            match response {
-                Err(RelayError::InvalidValue(_)) => self.takes_bases = false,
+            match &response {
+                Err(RelayError::InvalidValue(error)) => {
+                    tracing::info!(address = %self.address, %error, "long value not taken; asking for it whole");
+                    self.takes_bases = false;
+                }
                 Err(RelayError::ValueNotFetched(_)) => {}
                 Ok(_) | Err(_) => break,
             }
             response = self.ask_for_records(gateway, Duration::ZERO).await;
         }
         let response = response?;
+        self.takes_bases = true;
         // An instance that reaches the store ignores the lapse window of one that
         // does not.
         let applies_here = response.is_reader || !gateway.is_active_reader();
--- a/tests/gateway/long_values.rs
+++ b/tests/gateway/long_values.rs
@@ -126,6 +126,34 @@
     expect_that!(stored(&to), some(eq(&text)));
 }
 
+// Guards against whole values between readers that read the same version at the same time.
+#[gtest]
+#[tokio::test]
+async fn a_version_that_was_read_meanwhile_is_not_needed() {
+    let (from, to) = (instance("a").await, instance("b").await);
+    apply(&from, 0, &version(1, "abcdefgh-"));
+    fetch(&from, &to).await;
+    let text = version(2, "abcdefgh-");
+    apply(&from, 1, &text);
+    let (client, _) = from.peers.builds.open(address(&from)).await.unwrap();
+    let positions = vec![StreamPosition {
+        stream: Stream::Operator,
+        told_era: 1,
+        next_offset: 1,
+    }];
+    let told = ToldPositions::default();
+    let answer = client
+        .packed_records(context::current(), positions, told, 0, true, own_address())
+        .await
+        .unwrap();
+    apply(&to, 1, &text);
+
+    let response = answer.unpack(&to).await.unwrap();
+
+    let value = response.streams[0].records.records[0].value.clone();
+    expect_that!(value, some(eq(text.as_bytes())));
+}
+
 // Guards against a version that is lost with the instance from which it should be fetched.
 #[gtest]
 #[tokio::test]
