--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -41,7 +41,7 @@
 
 /// Seeds that failed once, with the cause of each. They run before the seeds in
 /// `SOAK_SEEDS`.
-const FAILED_ONCE: [(u64, &str); 17] = [
+const FAILED_ONCE: [(u64, &str); 18] = [
     (
         1,
         "the test started a gateway while its previous process was stopping",
@@ -88,6 +88,10 @@
         "open: the store lost a stopped request, and all gateways ended before it was written again",
     ),
     (614, "as 568"),
+    (
+        783,
+        "versions written below the lost ones, after the store had returned from a copy, were skipped",
+    ),
     (
         805,
         "open: after a return of the store from a copy whose log was gone, one gateway did not take back the entries that upstreams wrote again",
