--- a/src/gateway/long_values.rs
+++ b/src/gateway/long_values.rs
@@ -31,6 +31,7 @@
 /// Time in which an instance that was told a value before must send it; a third of the
 /// platform's bound of 2 s on a new manifest, so that there is time for another source.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Records that the requester lacks, their long values compressed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PackedRecordsResponse {
--- a/src/gateway/packed_values.rs
+++ b/src/gateway/packed_values.rs
@@ -28,8 +28,7 @@
 /// Pause after which instances that ask count anew; polls, by which all ask for a new value,
 /// wait up to 1 s.
 const WAVE_PAUSE: Duration = Duration::from_secs(2);
-/// Level of compression, the default of zstd: 240 KB of routes become a tenth in some 2 ms of
-/// a core.
+/// Level of compression, the default of zstd, by which 240 KB of routes become 19 KB.
 const LEVEL: i32 = 3;
 
 /// A long value, by its place in a stream and the value against which it is compressed.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -94,7 +94,7 @@
     ),
     (
         805,
-        "open: after a return of the store from a copy whose log was gone, one gateway did not take back the entries that upstreams wrote again",
+        "entries that upstreams wrote again below the lost ones, after the store had returned from a copy, were skipped",
     ),
 ];
 /// Seeds that play [`crashing::Play`] instead of drawn faults; they run alone.
