Serve routes of kind download, which may be repeated

Cause: a route of a kind that this build does not know made every instance skip the whole manifest, so that both further sites were served nothing. Change: the kind download is decoded; such requests may be repeated, as those of kind safe. Test: download_routes_may_be_repeated failed before the change.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -32,7 +32,8 @@
 struct RouteRecord {
     host: String,
     path_prefix: Arc<str>,
-    /// `safe` requests may run more than once, `unsafe` ones may not.
+    /// `safe` and `download` requests may run more than once, `unsafe` ones may not; the
+    /// responses to `download` requests are large.
     kind: Arc<str>,
     timeout: String,
     /// Latency objective: a response within this time is of full use to the caller.
@@ -154,11 +155,11 @@
         )));
     }
     let is_idempotent = match &*record.kind {
-        "safe" => true,
+        "safe" | "download" => true,
         "unsafe" => false,
         other => {
             return Err(RecordError(format!(
-                "route {name} has the kind {other}; use safe or unsafe"
+                "route {name} has the kind {other}; use safe, download or unsafe"
             )));
         }
     };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -68,6 +68,19 @@
     expect_that!((single.attempts, single.priority), eq((1, 0)));
 }
 
+#[gtest]
+fn download_routes_may_be_repeated() {
+    let text = MANIFEST.replace("\"kind\": \"unsafe\"", "\"kind\": \"download\"");
+
+    let record = platform().parse_operator_record("config", text.as_bytes());
+
+    let Ok(Some(OperatorRecord::Manifest(manifest))) = record else {
+        panic!("{record:?}");
+    };
+    let download = manifest.route("b.example", "/x/").unwrap();
+    expect_that!(download.is_idempotent, eq(true));
+}
+
 #[gtest]
 fn invalid_manifest_is_rejected_as_a_whole() {
     for (original, invalid) in [
