--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,7 @@
 use super::peer_client::PeerClient;
 use super::send_permit::{self, PermitAnswer, PermitAsk, PermitReturn};
 use super::state::Gateway;
-use super::store::{Platform, Records, Stream};
+use super::store::{MAX_PAGE_BYTES, Platform, Records, Stream};
 use super::taken;
 use crate::decision::crash_suspects::{Scope, SuspectReport};
 use crate::decision::rate_limits::LimitReport;
@@ -29,10 +29,6 @@
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(5);
 /// Streams that instances fetch from each other.
 pub const STREAMS: [Stream; 3] = [Stream::Operator, Stream::Upstreams, Stream::Instances];
-
-/// Size from which on the records of a stream are told in several responses: those of all
-/// streams together stay well within a frame of 8 MiB.
-const MAX_PAGE_BYTES: usize = 1024 * 1024;
 /// Most reports of suspects, of limits, and of notices in one response.
 pub const MAX_REPORTS: usize = 256;
 
@@ -351,20 +347,13 @@
     let mut streams = Vec::new();
     for position in positions {
         let copy = view.copy(position.stream);
-        let is_whole_state = copy.era > position.told_era;
-        let has_more = copy.era == position.told_era && copy.next_offset > position.next_offset;
-        if !is_whole_state && !has_more {
+        let missing = copy.missing_records(position.told_era, position.next_offset);
+        let Some((records, is_whole_state)) = missing else {
             continue;
-        }
-        let records = if is_whole_state {
-            copy.all_records()
-        } else {
-            copy.records_from(position.next_offset)
         };
-        let records = records.into_page(MAX_PAGE_BYTES);
         streams.push(StreamRecords {
             stream: position.stream,
-            records,
+            records: records.into_page(MAX_PAGE_BYTES),
             is_whole_state,
         });
     }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -56,6 +56,16 @@
 
 /// Encoded size of a record beyond that of its key and value.
 const RECORD_OVERHEAD_BYTES: usize = 64;
+/// Size from which on instances tell each other the records of a stream in several responses:
+/// those of all streams together stay well within a frame of 8 MiB.
+pub const MAX_PAGE_BYTES: usize = 1024 * 1024;
+
+impl KeyedRecord {
+    /// About its encoded size.
+    fn encoded_bytes(&self) -> usize {
+        RECORD_OVERHEAD_BYTES + self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
 
 impl Records {
     /// Leaves out the last records if all of them take more than about `max_bytes`; the next
@@ -78,13 +88,18 @@
                 self.records.truncate(index);
                 break;
             }
-            bytes += RECORD_OVERHEAD_BYTES
-                + record.key.len()
-                + record.value.as_ref().map_or(0, Vec::len);
+            bytes += record.encoded_bytes();
             previous = Some(position(record));
         }
         self
     }
+
+    /// Whether [`Records::into_page`] may have left out records of these.
+    #[must_use]
+    pub fn may_be_page(&self, max_bytes: usize) -> bool {
+        let bytes: usize = self.records.iter().map(KeyedRecord::encoded_bytes).sum();
+        bytes >= max_bytes
+    }
 }
 
 /// Why a call to the store failed.
--- a/src/gateway/stream_copy.rs
+++ b/src/gateway/stream_copy.rs
@@ -59,7 +59,8 @@
     pub next_offset: u64,
     /// Era in which another instance has told the whole state; 0 if none has.
     pub told_era: u64,
-    /// End of the stream at the newest snapshot of the store.
+    /// Offset from which on all deletions in this era are known: the end of the newest
+    /// snapshot, or of the state that another instance has told.
     pub snapshot_end: u64,
     history: VecDeque<HistoryEntry>,
     lost: BTreeSet<Arc<str>>,
@@ -118,13 +119,17 @@
     /// Whether a record that another instance tells may be news: it is of a known key, or of
     /// one that this copy lacks because it never stood in what was read.
     ///
-    /// What the store held at the end of the first read is known, so an older record of a
-    /// missing key belongs to one that has been deleted.
+    /// What the store held at the end of the snapshot is known, so an older record of a key
+    /// that it lacked belongs to one that has been deleted. `era` is that of the teller.
     #[must_use]
-    pub fn may_be_news(&self, record: &KeyedRecord) -> bool {
+    pub fn may_be_news(&self, record: &KeyedRecord, era: u64) -> bool {
         let is_of_this_era = record.era == 0 || record.era == self.era;
         let is_deleted = is_of_this_era && record.offset < self.snapshot_end;
-        self.records.contains_key(&record.key) || !is_deleted
+        let Some(known) = self.records.get(&record.key) else {
+            return !is_deleted;
+        };
+        let is_of_ended_era = known.era != 0 && known.era < self.era;
+        !(is_of_ended_era && era == self.era && is_deleted)
     }
 
     /// Notes the present era at records of an unknown one, before a new era begins.
@@ -177,6 +182,41 @@
         (replaced.era == 0 || replaced.era == self.era).then_some(replaced)
     }
 
+    /// What another instance lacks that was told the era `told_era` and has read up to
+    /// `next_offset`, and whether that is the whole state.
+    ///
+    /// It gets the whole state, too, if it may have missed deletions that are not known here:
+    /// it drops the keys that the state lacks.
+    #[must_use]
+    pub fn missing_records(&self, told_era: u64, next_offset: u64) -> Option<(Records, bool)> {
+        if self.era > told_era {
+            return Some((self.all_records(), true));
+        }
+        if self.era < told_era || self.next_offset <= next_offset {
+            return None;
+        }
+        if next_offset < self.snapshot_end {
+            return Some((self.all_records(), true));
+        }
+        Some((self.records_from(next_offset), false))
+    }
+
+    /// Keys in use here that stand in the present era before `end`, and are not among
+    /// `records`.
+    #[must_use]
+    pub fn missing_keys(&self, records: &[KeyedRecord], end: u64) -> Vec<Arc<str>> {
+        let told: BTreeSet<&str> = records.iter().map(|record| &*record.key).collect();
+        let mut missing = Vec::new();
+        for (key, known) in &self.records {
+            let stands_here = known.era == 0 || known.era == self.era;
+            let is_in_use = known.value.is_some() && !self.is_lost(key);
+            if is_in_use && stands_here && known.offset < end && !told.contains(&**key) {
+                missing.push(Arc::clone(key));
+            }
+        }
+        missing
+    }
+
     /// The newest record of each key that was written in this era from an offset on,
     /// tombstones included, for another instance that follows the same era.
     #[must_use]
@@ -337,8 +377,11 @@
             return;
         }
         tombstones.sort_unstable();
-        for (_, _, key) in tombstones.drain(..MAX_TOMBSTONES / 2) {
+        for (era, offset, key) in tombstones.drain(..MAX_TOMBSTONES / 2) {
             self.records.remove(&key);
+            if era == 0 || era == self.era {
+                self.snapshot_end = self.snapshot_end.max(offset + 1);
+            }
         }
     }
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::store::{KeyedRecord, OperatorRecord, Platform, RecordError, Records, Stream};
+use super::store::{
+    KeyedRecord, MAX_PAGE_BYTES, OperatorRecord, Platform, RecordError, Records, Stream,
+};
 use super::stream_copy::StreamCopy;
 use super::suspect_records::{StoredSuspect, content_of_key};
 use crate::decision::directory::{Change, Directory};
@@ -222,7 +224,8 @@
 
     /// Applies the whole state of a stream as another instance knows it.
     ///
-    /// Records that are newer here stay, and so do keys that the other one lacks.
+    /// Records that are newer here stay. Keys that the other one lacks stay unless it has
+    /// read further in this era: they have been deleted.
     pub fn apply_peer_state(
         &mut self,
         platform: &impl Platform,
@@ -240,9 +243,23 @@
             copy.next_offset = state.next_offset;
             copy.snapshot_end = 0;
         }
+        let copy = self.copy(stream);
+        let is_ahead = state.era == copy.era && state.next_offset >= copy.next_offset;
+        let is_complete = is_ahead && !state.may_be_page(MAX_PAGE_BYTES);
+        if is_complete {
+            for key in copy.missing_keys(&state.records, state.next_offset) {
+                let deletion = KeyedRecord {
+                    era: state.era,
+                    offset: state.next_offset - 1,
+                    key,
+                    value: None,
+                };
+                self.put_record(platform, stream, deletion, may_lapse, now_ms, &mut events);
+            }
+        }
         for mut record in state.records {
             let copy = self.copy(stream);
-            if !copy.may_be_news(&record) {
+            if !copy.may_be_news(&record, state.era) {
                 continue;
             }
             if record.era == 0 && state.era < copy.era {
@@ -261,6 +278,9 @@
         if state.era == copy.era {
             copy.next_offset = copy.next_offset.max(state.next_offset);
         }
+        if is_complete {
+            copy.snapshot_end = state.next_offset;
+        }
         copy.prune(now_ms);
         events
     }
--- a/tests/store_eras/convergence.rs
+++ b/tests/store_eras/convergence.rs
@@ -142,16 +142,8 @@
         }
     }
 
-    /// Lets an instance ask another one, within the part that the other one has read record by
-    /// record: known red is `a_deletion_before_a_snapshot_reaches_an_instance_that_lags`.
+    /// Lets an instance ask another one.
     fn ask(&mut self, by: usize, of: usize) {
-        let stream = self.store.stream;
-        let told = self.instances[of].view.copy(stream);
-        let (era, snapshot_end) = (told.era, told.snapshot_end);
-        let known = self.instances[by].view.copy(stream);
-        if known.era == era && known.next_offset < snapshot_end {
-            self.instances[by].follow(&self.store, self.now_ms);
-        }
         let mut asking = std::mem::replace(&mut self.instances[by], Instance::new());
         asking.ask(&self.instances[of], self.store.stream, self.now_ms);
         self.instances[by] = asking;
--- a/tests/store_eras/main.rs
+++ b/tests/store_eras/main.rs
@@ -168,3 +168,51 @@
 
     expect_that!(lagging.upstreams().get("up-2"), none());
 }
+
+// Guards against the same where the instance that lags was told of the stream before, so that
+// it gets only what follows.
+#[gtest]
+fn a_deletion_before_a_snapshot_reaches_an_instance_that_was_told_before() {
+    let mut store = upstream_store();
+    let first = reader(&store);
+    let mut lagging = Instance::new();
+    lagging.ask(&first, Stream::Upstreams, 0);
+    store.delete("up-2");
+    store.write("up-3", entry(4));
+    let started = reader(&store);
+
+    lagging.ask(&started, Stream::Upstreams, 0);
+
+    let left = [("up-1".to_owned(), 3), ("up-3".to_owned(), 4)];
+    expect_that!(lagging.upstreams(), eq(&left.into()));
+}
+
+// Guards against the same where the one that tells was itself told the whole state only.
+#[gtest]
+fn a_deletion_before_a_told_state_reaches_an_instance_that_lags() {
+    let mut store = upstream_store();
+    let first = reader(&store);
+    let mut lagging = Instance::new();
+    lagging.ask(&first, Stream::Upstreams, 0);
+    store.delete("up-2");
+    let mut started = Instance::new();
+    started.ask(&reader(&store), Stream::Upstreams, 0);
+
+    lagging.ask(&started, Stream::Upstreams, 0);
+
+    expect_that!(lagging.upstreams().get("up-2"), none());
+}
+
+// Guards against an upstream that has just registered being dropped when an instance tells
+// its state that has read less.
+#[gtest]
+fn an_entry_that_the_telling_instance_has_not_read_yet_stays() {
+    let mut store = upstream_store();
+    let behind = reader(&store);
+    store.write("up-4", entry(1));
+    let mut ahead = reader(&store);
+
+    ahead.ask(&behind, Stream::Upstreams, 0);
+
+    expect_that!(ahead.upstreams().get("up-4"), some(eq(&1)));
+}
--- a/tests/store_eras/model.rs
+++ b/tests/store_eras/model.rs
@@ -185,13 +185,15 @@
         let known = self.view.copy(stream);
         let (told_era, next_offset) = (known.told_era, known.next_offset);
         let has_ended = told_era < known.era;
+        let next_offset = if has_ended { u64::MAX } else { next_offset };
         let copy = other.view.copy(stream);
-        if copy.era > told_era {
-            let state = copy.all_records();
+        let Some((records, is_whole_state)) = copy.missing_records(told_era, next_offset) else {
+            return;
+        };
+        if is_whole_state {
             self.view
-                .apply_peer_state(&self.platform, stream, state, false, now_ms);
-        } else if !has_ended && copy.era == told_era && copy.next_offset > next_offset {
-            let records = copy.records_from(next_offset);
+                .apply_peer_state(&self.platform, stream, records, false, now_ms);
+        } else {
             self.view
                 .apply(&self.platform, stream, records, false, now_ms);
         }
