Hand a request again to an instance whose links are back

Cause, traced from the lines of a failing run: the receiver's links fell silent between its offer and the request; it declined ('no upstream answers it either'), and the sender left it out for the rest of the request, though it offered again 60 ms later with a fresh answer of an upstream. Ruled out: the 0.6 s for which requests wait for offers. Change: an instance that declined since its links were silent is left out until an upstream has answered it; one that cannot take the request at all says so by its retry delay, and is left out for good.

--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -10,7 +10,7 @@
 use super::handed::{
     AttemptHistory, HandedAnswer, HandedRequest, MAX_HANDED_BYTES, encode_headers,
 };
-use super::offers::{KnownOffer, ask_once};
+use super::offers::{Declined, KnownOffer, ask_once};
 use super::outcome::{Outcome, Reason};
 use super::peer_client::HandError;
 use super::sending::attempt_deadline;
@@ -25,6 +25,9 @@
 /// The same since the last offer: instances that took requests until then rarely lose their
 /// links at that moment too, and more often get no answer for a moment.
 const RECENT_OFFER_MS: u64 = YOUNG_CUT_MS;
+/// Retry delay of an instance that does not take a request from which on it is not asked again
+/// for it; a shorter one says that its links may be back at once.
+const MIN_DECLINED_MS: u64 = 100;
 /// Delay before a request looks again for them.
 const ASK_AGAIN_DELAY: Duration = Duration::from_millis(15);
 /// Time in which a receiver must respond before it gets a request: 60 ms on a kept
@@ -57,7 +60,7 @@
     }
     let began_ms = gateway.now_ms();
     let mut refusal = None;
-    let mut declined = Vec::new();
+    let mut declined = Declined::default();
     let until = call.deadline.min(Instant::now() + SEARCH_TIME);
     while Instant::now() < until {
         if !gateway.offers.is_known(gateway.now_ms()) {
@@ -77,10 +80,17 @@
         let end = hand_to(gateway, call, service, history, &known).await;
         log_end(gateway, call, &known, &end);
         match end {
+            Ok(HandedAnswer::NotTaken { retry_after_ms, .. })
+                if retry_after_ms < MIN_DECLINED_MS =>
+            {
+                gateway.metrics.on_handed("not-taken");
+                gateway.offers.remove(known.address);
+                declined.until_it_is_answered(known.address, gateway.now_ms());
+            }
             Ok(HandedAnswer::NotTaken { .. }) | Err(HandError::NotSent(_)) => {
                 gateway.metrics.on_handed("not-taken");
                 gateway.offers.remove(known.address);
-                declined.push(known.address);
+                declined.for_good(known.address);
             }
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
@@ -90,7 +100,7 @@
                 }
                 // It may lack some links, too; another one may have room.
                 gateway.offers.remove(known.address);
-                declined.push(known.address);
+                declined.for_good(known.address);
                 refusal = Some(end);
             }
             Err(error) => {
--- a/src/gateway/offers.rs
+++ b/src/gateway/offers.rs
@@ -52,6 +52,30 @@
     willing_ms: Option<u64>,
 }
 
+/// Instances that have not taken a request, and since when.
+#[derive(Debug, Default)]
+pub struct Declined(Vec<(SocketAddr, u64)>);
+
+impl Declined {
+    /// Leaves out the offers of an instance until an upstream has answered it: then its links
+    /// are back.
+    pub fn until_it_is_answered(&mut self, address: SocketAddr, now_ms: u64) {
+        self.0.push((address, now_ms));
+    }
+
+    /// Leaves out all offers of an instance.
+    pub fn for_good(&mut self, address: SocketAddr) {
+        self.0.push((address, u64::MAX));
+    }
+
+    fn holds(&self, known: &KnownOffer) -> bool {
+        let no_answer_ms = known.offer.no_answer_ms.unwrap_or(u64::MAX);
+        let answered_ms = known.received_ms.saturating_sub(no_answer_ms);
+        let mut entries = self.0.iter();
+        entries.any(|(address, since_ms)| *address == known.address && answered_ms <= *since_ms)
+    }
+}
+
 /// Offers of other instances.
 #[derive(Debug, Default)]
 pub struct OfferState {
@@ -95,20 +119,17 @@
 
     /// Takes the less loaded of two random willing instances, except those that have
     /// `declined`.
-    pub fn take(&self, declined: &[SocketAddr]) -> Option<KnownOffer> {
+    pub fn take(&self, declined: &Declined) -> Option<KnownOffer> {
         let mut offers = self.offers();
         let is_fresh = |known: &KnownOffer| {
             let no_answer_ms = known.offer.no_answer_ms;
             no_answer_ms.is_some_and(|age| age <= FRESH_CONTACT_MS)
         };
-        let mut others = offers
-            .willing
-            .iter()
-            .filter(|known| !declined.contains(&known.address));
+        let mut others = offers.willing.iter().filter(|known| !declined.holds(known));
         let has_fresh = others.any(is_fresh);
         let mut drawn: Vec<&mut KnownOffer> = Vec::new();
         for known in &mut offers.willing {
-            if declined.contains(&known.address) {
+            if declined.holds(known) {
                 continue;
             }
             if is_fresh(known) || !has_fresh {
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -20,6 +20,8 @@
 const MAX_TAKEN: usize = 256;
 /// Retry delay for requests beyond that, in milliseconds.
 const FULL_RETRY_AFTER_MS: u64 = 250;
+/// Retry delay for requests that this instance cannot take for as long as callers wait.
+const NEVER_RETRY_AFTER_MS: u64 = 60_000;
 /// Longest time from sending to receiving a request, in milliseconds, beyond which this
 /// instance stood still or its links to the sender are slow.
 const MAX_TRANSIT_MS: u64 = 250;
@@ -145,7 +147,8 @@
     transit_ms: u64,
 ) -> Result<Call, HandedAnswer> {
     let Some(manifest) = gateway.manifest().filter(|_| gateway.knows_fleet_state()) else {
-        return Err(not_taken("no version of the routes is known", 1));
+        let why = "no version of the routes is known";
+        return Err(not_taken(why, NEVER_RETRY_AFTER_MS));
     };
     let path = handed.target.split('?').next().unwrap_or_default();
     let route = manifest.route(&handed.host, path);
@@ -153,10 +156,11 @@
         let mut targets = route.targets.iter();
         targets.any(|target| target.service == handed.service)
     }) else {
-        return Err(not_taken("its version has no such route", 1));
+        let why = "its version has no such route";
+        return Err(not_taken(why, NEVER_RETRY_AFTER_MS));
     };
     let Ok(method) = Method::from_bytes(handed.method.as_bytes()) else {
-        return Err(not_taken("the method is invalid", 1));
+        return Err(not_taken("the method is invalid", NEVER_RETRY_AFTER_MS));
     };
     let mut reservation = BodyReservation::new(&gateway.body_memory);
     if !reservation.grow(handed.body.len()) {
