Refuse requests that a planned stop would cut

Change: from the begin of the stop a request is sent only if its deadline lies before the end of the process, or, while connections are accepted, if four times what its route has needed lately at most fits. Otherwise 503 'stopping', before anything is sent; a handed request is not taken. This holds for first attempts, retries, and what is handed over or taken. The decision is pure (decision/stop_time, decision/route_times); state.rs lost the averages. The test of outcomes ignores a new return value, no check changed. Not tested: a second signal, a frozen process, the stop of an instance that runs requests of others.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,6 +26,9 @@
 /// that stood still.
 const LATE_RETRY_AFTER_MS: u64 = 100;
 
+/// Retry delay for callers of an instance that stops; they reach another one at once.
+const STOPPING_RETRY_AFTER_MS: u64 = 1;
+
 /// Upstreams that a request may find gone, after their probes, before it is refused.
 const MAX_UNSENT: usize = 8;
 
@@ -120,6 +123,9 @@
     history: &mut AttemptHistory,
     may_hand_over: bool,
 ) -> AttemptEnd {
+    if !gateway.may_begin(&call.route, call.left_ms()) {
+        return AttemptEnd::Refused(refuse_while_stopping(gateway, call, service));
+    }
     if may_hand_over && gateway.contact.is_cut_off() {
         return AttemptEnd::NoContact;
     }
@@ -167,6 +173,22 @@
     }
 }
 
+/// Refuses a request that would be cut when the process ends; other instances serve it.
+fn refuse_while_stopping<P: Platform>(gateway: &Gateway<P>, call: &Call, service: &str) -> Outcome {
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            route = %call.route.name,
+            service,
+            held_ms = call.held_ms(),
+            left_ms = call.left_ms(),
+            longest_ms = gateway.route_times().longest_ms(&call.route),
+            "request refused: this instance stops before it could be answered"
+        );
+    }
+    Outcome::refused(Reason::Stopping, STOPPING_RETRY_AFTER_MS)
+}
+
 fn has_unsent_left(history: &AttemptHistory) -> bool {
     history.tried.len().saturating_sub(history.sends) < MAX_UNSENT
 }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -52,6 +52,8 @@
     CrashesUpstreams,
     /// Upstreams ended while they ran the request, and a copy of it is running.
     CopyRunning,
+    /// This instance stops before an upstream could have answered.
+    Stopping,
     /// The deadline passed before the request was sent to an upstream.
     LateUnsent,
     /// No response came in time after the request was sent, so it may have run.
@@ -76,6 +78,7 @@
             | Self::Refused
             | Self::CrashesUpstreams
             | Self::CopyRunning
+            | Self::Stopping
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::peer_format::{BUILD, Format};
 use super::server::{CallerCounts, MAX_BACKLOG_TIME, serve_callers, serve_metrics, serve_ready};
@@ -22,11 +22,6 @@
 };
 use crate::process::run::RunError;
 
-/// Time for which a stopping instance still accepts connections: the balancer
-/// checks readiness once a second and needs two failed checks.
-const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_700);
-/// Part of the stop limit reserved for the exit of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping instance checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time without requests after which connections that never sent one are closed.
@@ -230,17 +225,18 @@
 
 /// Fails the readiness check, serves until the balancer has noticed, then closes
 /// the listener and waits for the requests in flight, at most until the stop limit.
-async fn drain_and_stop<P: Platform>(
+pub async fn drain_and_stop<P: Platform>(
     gateway: &Gateway<P>,
     callers: &CallerCounts,
     close: &watch::Sender<bool>,
 ) {
     let began = Instant::now();
-    let limit = Duration::from_millis(gateway.settings().stop_limit_ms);
-    let end_at = began + limit.saturating_sub(STOP_MARGIN);
     tracing::info!(in_flight = callers.in_flight(), "stopping");
-    gateway.begin_stop();
-    sleep(ACCEPT_AFTER_STOP.min(limit / 2)).await;
+    let began_ms = gateway.now_ms();
+    let stop = gateway.begin_stop();
+    let after = |ms: u64| began + Duration::from_millis(ms.saturating_sub(began_ms));
+    let end_at = after(stop.end_ms);
+    sleep_until(after(stop.accept_until_ms)).await;
     close.send_replace(true);
     let finish = async {
         // Connections that are still to be accepted do not count yet.
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -13,12 +13,13 @@
 use super::probing::describe;
 use super::rate_limits::{AnswerKind, read_limit};
 use super::send_permit::SendPermit;
-use super::state::{Gateway, RouteMeans};
+use super::state::Gateway;
 use super::store::{HeaderNames, Platform};
 use super::upstream_client::{UpstreamClient, evidence_of};
 use super::upstream_notices::read_notice;
 use crate::connection::exchange::{Connection, ExchangeError, HttpRequest, HttpResponse};
 use crate::decision::ejection::Evidence;
+use crate::decision::route_times::RouteMeans;
 use crate::decision::selection::{Reading, USUAL_SPEED_PERCENT, expected_ms};
 
 /// Multiple of the expected service time after which an attempt of an idempotent
@@ -372,7 +373,7 @@
     }
 }
 
-/// Updates the route's averages from a typical response: successful, and from an
+/// Updates the route's times, and its averages from a typical response: successful, and from an
 /// upstream that is warm, not overly slow, and had a free slot.
 fn update_means<P: Platform>(
     gateway: &Gateway<P>,
@@ -384,6 +385,8 @@
     let SendOutcome::Answered(response) = sent else {
         return;
     };
+    let took_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
+    gateway.route_times().add(&call.route, took_ms);
     let Some(load) = reading.load else {
         return;
     };
@@ -391,12 +394,11 @@
         && load.running + load.waiting < load.slots
         && reading.cold_left_ms == 0;
     if response.status.is_success() && is_typical {
-        let work_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
         let bytes = call.body.len() + response.body.len();
         let newest = RouteMeans {
-            work_ms: work_ms * USUAL_SPEED_PERCENT / load.speed_percent.max(1.0),
+            work_ms: took_ms * USUAL_SPEED_PERCENT / load.speed_percent.max(1.0),
             bytes: f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)),
         };
-        gateway.update_route_means(&call.route, newest);
+        gateway.route_times().add_typical(&call.route, newest);
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,5 @@
 //! State shared by all requests of the process.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -33,14 +32,10 @@
 use crate::decision::manifest::{Manifest, Route};
 use crate::decision::probe_budget::{ProbeBudget, ProbeLimit};
 use crate::decision::retry_budget::RetryBudget;
+use crate::decision::route_times::{RouteMeans, RouteTimes};
+use crate::decision::stop_time::StopTime;
 use crate::decision::traffic_split::TrafficSplitter;
 
-/// Fraction of the route's latency objective used as its mean work time before
-/// the first response.
-const INITIAL_WORK_FRACTION: f64 = 0.35;
-/// Weight of the newest response in a route's moving averages.
-const MEAN_WEIGHT: f64 = 0.1;
-
 /// Changes logged one by one for each read of the store; the rest are only
 /// counted.
 const MAX_EVENT_LOG_LINES: usize = 40;
@@ -54,15 +49,6 @@
 /// without the limits of upstreams, which only other instances know.
 const FLEET_STATE_TIMEOUT_MS: u64 = 3_000;
 
-/// Moving averages over the requests of a route.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RouteMeans {
-    /// Service time on an idle upstream at its usual speed.
-    pub work_ms: f64,
-    /// Size of the request's and the response's bodies together.
-    pub bytes: f64,
-}
-
 /// Request bodies, and response bodies, may each take the memory limit divided by
 /// this; a request's body may be held a second time in its connection's buffer.
 const BODY_MEMORY_DIVISOR: usize = 4;
@@ -123,8 +109,8 @@
     retry_budget: Mutex<RetryBudget>,
     cold_limiter: Mutex<ColdLimiter>,
     probe_budget: Mutex<ProbeBudget>,
-    means_by_route: Mutex<HashMap<Arc<str>, RouteMeans>>,
-    stopping: watch::Sender<bool>,
+    route_times: Mutex<RouteTimes>,
+    stopping: watch::Sender<Option<StopTime>>,
     reader_role: watch::Sender<bool>,
     changes: watch::Sender<u64>,
     /// Number of streams whose reads from the store fail.
@@ -181,8 +167,8 @@
             retry_budget: Mutex::default(),
             cold_limiter: Mutex::default(),
             probe_budget: Mutex::default(),
-            means_by_route: Mutex::default(),
-            stopping: watch::Sender::new(false),
+            route_times: Mutex::default(),
+            stopping: watch::Sender::new(None),
             reader_role: watch::Sender::new(true),
             changes: watch::Sender::new(0),
             unreachable_streams: AtomicUsize::new(0),
@@ -421,15 +407,27 @@
 
     /// Starts the planned stop: the instance is no longer ready, and no longer counts
     /// as an active reader.
-    pub fn begin_stop(&self) {
-        self.stopping.send_replace(true);
+    pub fn begin_stop(&self) -> StopTime {
+        let stop = StopTime::new(self.now_ms(), self.settings().stop_limit_ms);
+        self.stopping.send_replace(Some(stop));
         self.notify_changed();
+        stop
     }
 
     /// Whether the planned stop has started.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.stopping.borrow().is_some()
+    }
+
+    /// Whether a request of a route, with this time until its deadline, may be sent to an
+    /// upstream; not if the process would end before its response.
+    #[must_use]
+    pub fn may_begin(&self, route: &Route, left_ms: u64) -> bool {
+        let Some(stop) = *self.stopping.borrow() else {
+            return true;
+        };
+        stop.may_send(self.now_ms(), left_ms, self.route_times().longest_ms(route))
     }
 
     /// Picks the service for the next request of a route, by the targets'
@@ -520,22 +518,12 @@
     /// The moving averages of a route.
     #[must_use]
     pub fn route_means(&self, route: &Route) -> RouteMeans {
-        let measured = lock(&self.means_by_route).get(&route.name).copied();
-        let objective_ms = u32::try_from(route.objective_ms).unwrap_or(u32::MAX);
-        measured.unwrap_or(RouteMeans {
-            work_ms: INITIAL_WORK_FRACTION * f64::from(objective_ms),
-            bytes: 0.0,
-        })
+        self.route_times().means(route)
     }
 
-    /// Adds a response to the moving averages of a route.
-    pub fn update_route_means(&self, route: &Route, newest: RouteMeans) {
-        let current = self.route_means(route);
-        let updated = RouteMeans {
-            work_ms: current.work_ms + MEAN_WEIGHT * (newest.work_ms - current.work_ms),
-            bytes: current.bytes + MEAN_WEIGHT * (newest.bytes - current.bytes),
-        };
-        lock(&self.means_by_route).insert(Arc::clone(&route.name), updated);
+    /// What the requests of each route take.
+    pub fn route_times(&self) -> MutexGuard<'_, RouteTimes> {
+        lock(&self.route_times)
     }
 
     /// Logs changes of the view and updates the metrics.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod narrow_links;
 mod odd_entries;
 mod outcomes;
+mod planned_stop;
 mod process;
 mod rate_limits;
 mod raw_store;
--- a/tests/gateway/outcomes.rs
+++ b/tests/gateway/outcomes.rs
@@ -112,7 +112,9 @@
         sleep(Duration::from_millis(20)).await;
         match case.disturbance {
             Disturbance::Nothing | Disturbance::CallerLeaves => {}
-            Disturbance::StopBegins => gateway.begin_stop(),
+            Disturbance::StopBegins => {
+                gateway.begin_stop();
+            }
             Disturbance::FirstDrains => {
                 let mut report = report("first", first.address, UpstreamState::Draining);
                 report.sequence = 2;
--- /dev/null
+++ b/tests/gateway/planned_stop.rs
@@ -0,0 +1,266 @@
+//! Requests at each moment of a planned stop. Callers and upstreams talk over loopback, so
+//! these tests run on the real clock.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorywing::decision::directory::UpstreamState;
+use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::run::drain_and_stop;
+use chicorywing::gateway::server::{CallerCounts, serve_callers};
+use googletest::prelude::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use super::fake::{FakeStore, gateway, manifest, report, route};
+use super::upstream::{Behaviour, FakeUpstream};
+
+/// Moments after the stop signal at which requests end, up to the stop limit of 6 s.
+const INTERVAL: Duration = Duration::from_millis(300);
+const MOMENTS: u32 = 21;
+/// Time up to which the platform's balancer may send new connections: two checks that it
+/// makes once a second.
+const BALANCER_TIME: Duration = Duration::from_secs(2);
+/// Upstreams enough for the probes of all requests.
+const UPSTREAMS: usize = 8;
+/// Latency objective of the routes, in which the upstreams answer.
+const OBJECTIVE_MS: u64 = 2_000;
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How a request is on its way when the stop begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
+enum Kind {
+    LateHead,
+    LateBody,
+    LateChunk,
+    Kept,
+    Opened,
+    New,
+}
+
+#[derive(Debug)]
+struct Sent {
+    kind: Kind,
+    at: Duration,
+    /// Names its kind, whether it may be repeated, and its moment.
+    id: String,
+    response: String,
+}
+
+/// The two parts of a request: before the stop, and at its moment.
+fn parts(kind: Kind, host: &str, id: &str) -> (String, String) {
+    let head = format!("host: {host}\r\nt-id: {id}\r\n");
+    match kind {
+        Kind::LateHead => (
+            format!("GET /x HTTP/1.1\r\nhost: {host}\r\n"),
+            format!("t-id: {id}\r\n\r\n"),
+        ),
+        Kind::LateBody => (
+            format!("POST /x HTTP/1.1\r\n{head}content-length: 4\r\n\r\nab"),
+            "cd".to_owned(),
+        ),
+        Kind::LateChunk => (
+            format!("POST /x HTTP/1.1\r\n{head}transfer-encoding: chunked\r\n\r\n2\r\nab\r\n"),
+            "0\r\n\r\n".to_owned(),
+        ),
+        Kind::Kept | Kind::Opened | Kind::New => (
+            String::new(),
+            format!("POST /x HTTP/1.1\r\n{head}content-length: 0\r\n\r\n"),
+        ),
+    }
+}
+
+/// Reads until a response is complete, or what has come when the connection ends.
+async fn read_response(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut bytes = [0; 1_024];
+    while !is_complete(&text) {
+        match timeout(RESPONSE_TIMEOUT, stream.read(&mut bytes)).await {
+            Ok(Ok(count)) if count > 0 => text.push_str(&String::from_utf8_lossy(&bytes[..count])),
+            _ => break,
+        }
+    }
+    text
+}
+
+fn is_complete(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+    length.is_some_and(|length| body.len() >= length.parse().unwrap())
+}
+
+async fn send(
+    address: SocketAddr,
+    kind: Kind,
+    is_idempotent: bool,
+    at: Duration,
+    begins: Instant,
+) -> Sent {
+    let host = if is_idempotent {
+        "h.example"
+    } else {
+        "once.example"
+    };
+    let id = format!("{kind:?}-{is_idempotent}-{}", at.as_millis());
+    let (first, rest) = parts(kind, host, &id);
+    let mut sent = Sent {
+        kind,
+        at,
+        id,
+        response: String::new(),
+    };
+    let mut early = None;
+    if kind != Kind::New {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        if kind == Kind::Kept {
+            let (_, whole) = parts(kind, host, &format!("before-{}", sent.id));
+            stream.write_all(whole.as_bytes()).await.unwrap();
+            read_response(&mut stream).await;
+        }
+        stream.write_all(first.as_bytes()).await.unwrap();
+        early = Some(stream);
+    }
+    sleep_until(begins + at).await;
+    let stream = match early {
+        Some(stream) => Ok(stream),
+        None => TcpStream::connect(address).await,
+    };
+    let Ok(mut stream) = stream else {
+        return sent;
+    };
+    if stream.write_all(rest.as_bytes()).await.is_ok() {
+        sent.response = read_response(&mut stream).await;
+    }
+    sent
+}
+
+/// Stops a gateway in calm, whose upstreams work for `work`, and for `work_before` until then;
+/// returns the requests and the upstreams.
+async fn stop_with(work_before: Duration, work: Duration) -> (Vec<Sent>, Vec<FakeUpstream>) {
+    let mut upstreams = Vec::new();
+    for number in 0..UPSTREAMS {
+        let id = format!("up-{number}");
+        upstreams.push(FakeUpstream::start(&id, Behaviour::Serve(work_before)).await);
+    }
+    let gateway = gateway(&FakeStore::new());
+    let safe = Route {
+        objective_ms: OBJECTIVE_MS,
+        ..route()
+    };
+    let once = Route {
+        name: "once".into(),
+        host: "once.example".into(),
+        is_idempotent: false,
+        ..safe.clone()
+    };
+    {
+        let mut view = gateway.view();
+        view.manifest = Some(Arc::new(manifest(1, &[safe, once])));
+        for upstream in &upstreams {
+            let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
+            view.directory.put(report, 0);
+        }
+    }
+    gateway.set_instances_loaded();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let callers = Arc::new(CallerCounts::default());
+    let (close, closing) = watch::channel(false);
+    // The process: all its connections end with it.
+    let process = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let listener = listener.into_std().unwrap();
+    let (serving, counts) = (Arc::clone(&gateway), Arc::clone(&callers));
+    process.spawn(async move {
+        let listener = TcpListener::from_std(listener).unwrap();
+        serve_callers(listener, serving, counts, closing).await;
+    });
+    let begins = Instant::now() + work_before + Duration::from_secs(1);
+    let mut requests = Vec::new();
+    for kind in <Kind as strum::IntoEnumIterator>::iter() {
+        for is_idempotent in [true, false] {
+            for moment in 0..MOMENTS {
+                let at = INTERVAL * moment;
+                requests.push(tokio::spawn(send(address, kind, is_idempotent, at, begins)));
+            }
+        }
+    }
+    sleep_until(begins).await;
+    for upstream in &upstreams {
+        upstream.set_behaviour(Behaviour::Serve(work));
+    }
+    let stopped = process.spawn(async move { drain_and_stop(&gateway, &callers, &close).await });
+    stopped.await.unwrap();
+    process.shutdown_background();
+    let mut sent = Vec::new();
+    for request in requests {
+        sent.push(request.await.unwrap());
+    }
+    // A run that began just before the end shows by then.
+    sleep(Duration::from_millis(100)).await;
+    (sent, upstreams)
+}
+
+/// Requests that ran and got no answer, or one that says that they did not run.
+fn violations(sent: &[Sent], upstreams: &[FakeUpstream]) -> Vec<String> {
+    let runs: Vec<String> = upstreams.iter().flat_map(FakeUpstream::runs).collect();
+    let mut found = Vec::new();
+    for request in sent {
+        let line = format!("t-id: {}\r\n", request.id);
+        let ran = runs.iter().any(|run| run.contains(&line));
+        let is_refused = request.response.starts_with("HTTP/1.1 503");
+        if ran && (!is_complete(&request.response) || is_refused) {
+            found.push(format!("{request:?}"));
+        }
+    }
+    found
+}
+
+/// Requests that come while the balancer may still send new connections, and are not served.
+fn unserved_early(sent: &[Sent]) -> Vec<String> {
+    let mut found = Vec::new();
+    for request in sent {
+        // The time limit of a request whose body is late has passed.
+        let has_late_body = matches!(request.kind, Kind::LateBody | Kind::LateChunk);
+        let is_early = request.at < BALANCER_TIME && !has_late_body;
+        if is_early && !request.response.starts_with("HTTP/1.1 200") {
+            found.push(format!("{request:?}"));
+        }
+    }
+    found
+}
+
+async fn check(work_before_ms: u64, work_ms: u64) {
+    let [before, work] = [work_before_ms, work_ms].map(Duration::from_millis);
+    let (sent, upstreams) = stop_with(before, work).await;
+
+    expect_that!(
+        violations(&sent, &upstreams),
+        is_empty(),
+        "work {work_ms} ms"
+    );
+    expect_that!(unserved_early(&sent), is_empty(), "work {work_ms} ms");
+}
+
+// Guards against requests that come late in the stop limit and are cut at its end.
+#[gtest]
+#[tokio::test]
+async fn no_request_of_a_planned_stop_is_lost() {
+    tokio::join!(check(200, 200), check(900, 900), check(1_500, 1_500));
+}
+
+// Guards against the same where the upstreams have just turned slower than the gateway knows.
+#[gtest]
+#[tokio::test]
+async fn no_request_of_a_planned_stop_is_lost_at_upstreams_that_turn_slow() {
+    tokio::join!(check(20, 200), check(20, 900), check(20, 1_500));
+}
