--- a/src/decision/stop_time.rs
+++ b/src/decision/stop_time.rs
@@ -42,12 +42,12 @@
     /// comes later costs its caller little if it is refused.
     #[must_use]
     pub fn may_send(&self, now_ms: u64, left_ms: u64, longest_ms: Option<f64>) -> bool {
-        let until_end_ms = self.end_ms.saturating_sub(now_ms);
-        if left_ms.saturating_add(RESPONSE_MARGIN_MS) <= until_end_ms {
+        let last_response_ms = self.end_ms.saturating_sub(RESPONSE_MARGIN_MS);
+        if now_ms.saturating_add(left_ms) <= last_response_ms {
             return true;
         }
-        let needed_ms = longest_ms.map(|longest| longest * LONGEST_FACTOR);
-        let fits = needed_ms.is_some_and(|needed| needed <= to_f64(until_end_ms));
+        let until_last_ms = to_f64(last_response_ms.saturating_sub(now_ms));
+        let fits = longest_ms.is_some_and(|longest| longest * LONGEST_FACTOR <= until_last_ms);
         now_ms < self.accept_until_ms && fits
     }
 }
