Large responses: drop callers that read nothing, and blame no upstream

Cause: the memory of a response stays reserved until the caller has read it. A caller that never reads held it for ever, and a response that did not fit beside such ones counted as a failure of its upstream, which was ejected: the next small request waited 0.6 s and was refused. Change: a connection that makes no progress for the idle timeout is closed, and dropped after a second one; each part that is written counts as progress. A body that would fit alone ends its attempt without evidence. Log lines of the view have a module of their own; state.rs is shorter than before.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -82,6 +82,9 @@
     /// The received bytes are not a valid response to the request.
     #[error("invalid response: {0}")]
     InvalidResponse(&'static str),
+    /// Other responses hold the memory that the body needs; the server did nothing wrong.
+    #[error("other responses hold the memory that the body needs")]
+    NoMemory,
 }
 
 /// How the end of a body is determined.
@@ -516,6 +519,9 @@
         if self.reservation.grow_to(length) {
             return Ok(());
         }
+        if self.reservation.fits_alone(length) {
+            return Err(ExchangeError::NoMemory);
+        }
         Err(ExchangeError::InvalidResponse("the body is too long"))
     }
 
--- a/src/connection/response_memory.rs
+++ b/src/connection/response_memory.rs
@@ -27,6 +27,12 @@
             reserved_bytes: AtomicUsize::new(0),
         })
     }
+
+    /// Memory that responses hold now, in bytes.
+    #[must_use]
+    pub fn reserved_bytes(&self) -> usize {
+        self.reserved_bytes.load(Ordering::Relaxed)
+    }
 }
 
 /// Memory reserved for one response; released when dropped.
@@ -70,6 +76,13 @@
         true
     }
 
+    /// Whether a body of `length` bytes could be read if no other response held memory.
+    #[must_use]
+    pub fn fits_alone(&self, length: usize) -> bool {
+        let wanted = length.saturating_mul(RESERVED_PER_BYTE);
+        wanted <= self.memory.limit_bytes / 2
+    }
+
     /// Keeps the reservation until the last reference to the body is dropped.
     #[must_use]
     pub fn attach_to(self, body: Bytes) -> Bytes {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 //! This module does the I/O; [`crate::decision`] makes the decisions. A
 //! [`store::Platform`] defines the record formats and header names.
 
+pub mod caller_stream;
 pub mod calls;
 pub mod crash_evidence;
 pub mod fingerprint;
@@ -54,3 +55,4 @@
 pub mod upstream_contact;
 pub mod upstream_notices;
 pub mod view;
+mod view_log;
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -105,11 +105,8 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.is_finished = true;
-            let end = AttemptFailure {
-                evidence: evidence_of(&error),
-                began,
-            };
-            record_failure(gateway, call, &client, end, &error);
+            let evidence = evidence_of(&error);
+            record_failure(gateway, call, &client, evidence, began, &error);
             return SendOutcome::Unsent;
         }
     };
@@ -301,11 +298,13 @@
     error: &ExchangeError,
     began: Instant,
 ) {
-    let end = AttemptFailure {
-        evidence: Evidence::Failed,
-        began,
-    };
-    record_failure(gateway, call, client, end, error);
+    if matches!(error, ExchangeError::NoMemory) {
+        client.ejection().on_abandoned();
+        let id = call.id_text();
+        tracing::info!(request = id, upstream = %client.id, %error, "response given up");
+        return;
+    }
+    record_failure(gateway, call, client, Evidence::Failed, began, error);
 }
 
 fn on_timeout<P: Platform>(
@@ -316,28 +315,18 @@
 ) {
     let silent_ms = to_ms(sent_at.elapsed());
     let what = format_args!("no response for {silent_ms} ms").to_string();
-    let end = AttemptFailure {
-        evidence: Evidence::Failed,
-        began: sent_at,
-    };
-    record_failure(gateway, call, client, end, &what);
-}
-
-/// An attempt without an answer.
-#[derive(Clone, Copy, Debug)]
-struct AttemptFailure {
-    evidence: Evidence,
-    began: Instant,
+    record_failure(gateway, call, client, Evidence::Failed, sent_at, &what);
 }
 
+/// Records an attempt without an answer.
 fn record_failure<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
     client: &UpstreamClient,
-    failure: AttemptFailure,
+    evidence: Evidence,
+    began: Instant,
     what: &dyn std::fmt::Display,
 ) {
-    let AttemptFailure { evidence, began } = failure;
     let is_ejected = gateway.on_upstream_failure(client, evidence, began);
     record_evidence(gateway, call, client, evidence, is_ejected, what);
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use super::caller_stream::{CallerStream, ConnectionActivity};
 use super::calls::{self, id_text, to_ms};
 use super::forward::forward;
 use super::metrics::end_label;
@@ -27,10 +28,6 @@
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time in which the first request of a connection must begin when connections close.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(250);
-/// Interval at which it is looked for.
-const FIRST_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Wait for one more connection when the listener closes.
 const BACKLOG_WAIT: Duration = Duration::from_millis(5);
 /// Time after which the listener closes even if connections keep coming; the balancer has
@@ -106,8 +103,7 @@
         activity: &'c ConnectionActivity,
     ) -> Self {
         callers.requests.fetch_add(1, Ordering::Relaxed);
-        activity.requests.fetch_add(1, Ordering::Relaxed);
-        activity.has_begun.store(true, Ordering::Relaxed);
+        activity.begin_request();
         gateway.metrics.in_flight.inc();
         Self {
             callers,
@@ -120,54 +116,11 @@
 impl<P> Drop for RequestGuard<'_, P> {
     fn drop(&mut self) {
         self.callers.requests.fetch_sub(1, Ordering::Relaxed);
-        self.activity.requests.fetch_sub(1, Ordering::Relaxed);
-        self.activity.touch();
+        self.activity.end_request();
         self.gateway.metrics.in_flight.dec();
     }
 }
 
-/// Tracks when a connection last served a request.
-#[derive(Debug)]
-struct ConnectionActivity {
-    opened: Instant,
-    last_used_ms: AtomicU64,
-    requests: AtomicUsize,
-    has_begun: AtomicBool,
-}
-
-impl ConnectionActivity {
-    fn new() -> Self {
-        Self {
-            opened: Instant::now(),
-            last_used_ms: AtomicU64::new(0),
-            requests: AtomicUsize::new(0),
-            has_begun: AtomicBool::new(false),
-        }
-    }
-
-    fn touch(&self) {
-        let last_used_ms = to_ms(self.opened.elapsed());
-        self.last_used_ms.store(last_used_ms, Ordering::Relaxed);
-    }
-
-    /// Waits for the first request of a new connection, whose caller sends it right away.
-    async fn first_request(&self) {
-        let until = Instant::now() + FIRST_REQUEST_WAIT;
-        while !self.has_begun.load(Ordering::Relaxed) && Instant::now() < until {
-            sleep(FIRST_REQUEST_POLL_INTERVAL).await;
-        }
-    }
-
-    /// `None` while a request is running.
-    fn idle_since(&self) -> Option<Instant> {
-        if self.requests.load(Ordering::Relaxed) > 0 {
-            return None;
-        }
-        let last_used_ms = self.last_used_ms.load(Ordering::Relaxed);
-        Some(self.opened + Duration::from_millis(last_used_ms))
-    }
-}
-
 /// Serves callers until `close` turns true.
 ///
 /// The connections that wait to be accepted are still served. The listener then closes,
@@ -239,7 +192,8 @@
     mut close: watch::Receiver<bool>,
 ) {
     let _guard = ConnectionGuard::new(Arc::clone(&callers));
-    let activity = ConnectionActivity::new();
+    let activity = Arc::new(ConnectionActivity::new());
+    let stream = CallerStream::new(stream, Arc::clone(&activity));
     let max_head_bytes = gateway
         .manifest()
         .map_or(DEFAULT_MAX_HEAD_BYTES, |manifest| {
@@ -262,11 +216,18 @@
                 }
                 return;
             }
-            () = sleep_until(wake_at), if !is_closing => {
-                if idle_deadline(&gateway, &activity) <= Instant::now() {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
+            () = sleep_until(wake_at) => {
+                if idle_deadline(&gateway, &activity) > Instant::now() {
+                    continue;
+                }
+                if is_closing {
+                    tracing::debug!("caller connection dropped: the caller reads nothing");
+                    return;
                 }
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+                // A response that the caller does not read has this time once more.
+                activity.touch();
             }
             () = closed_and_used(&mut close, &activity), if !is_closing => {
                 is_closing = true;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::upstream_contact::ContactState;
 use super::upstream_notices::NoticeState;
 use super::view::{Event, Extent, View};
+use super::view_log;
 use crate::connection::arrivals::Arrivals;
 use crate::connection::response_memory::ResponseMemory;
 use crate::decision::cold_limiter::{ColdLimit, ColdLimiter};
@@ -36,10 +37,6 @@
 use crate::decision::stop_time::StopTime;
 use crate::decision::traffic_split::TrafficSplitter;
 
-/// Changes logged one by one for each read of the store; the rest are only
-/// counted.
-const MAX_EVENT_LOG_LINES: usize = 40;
-
 /// Time after the store recovers in which a removed entry may merely have lapsed,
 /// since its upstream could not renew it during the outage.
 const LAPSE_WINDOW_MS: u64 = 2_500;
@@ -538,13 +535,7 @@
         if events.is_empty() {
             return;
         }
-        for event in events.iter().take(MAX_EVENT_LOG_LINES) {
-            log_event(event, source, offset);
-        }
-        let omitted = events.len().saturating_sub(MAX_EVENT_LOG_LINES);
-        if omitted > 0 {
-            tracing::info!(omitted, source, offset, "further changes applied");
-        }
+        view_log::log_events(events, source, offset);
         let (manifest, upstreams) = {
             let view = self.view();
             (view.manifest.clone(), view.directory.len())
@@ -553,7 +544,7 @@
             self.metrics.on_version(&manifest);
             let is_new = |event: &Event| *event == Event::Version(manifest.version);
             if events.iter().any(is_new) {
-                log_unread(&manifest);
+                view_log::log_unread(&manifest);
             }
         }
         self.metrics
@@ -562,60 +553,6 @@
     }
 }
 
-/// Names what this build cannot read in a version.
-fn log_unread(manifest: &Manifest) {
-    for unread in manifest.unread.iter().take(MAX_EVENT_LOG_LINES) {
-        tracing::warn!(
-            version = manifest.version,
-            object = unread.object,
-            field = unread.field,
-            value = unread.value,
-            instead = unread.instead,
-            "this build cannot read a value of the version"
-        );
-    }
-    let omitted = manifest.unread.len().saturating_sub(MAX_EVENT_LOG_LINES);
-    if omitted > 0 {
-        tracing::warn!(
-            version = manifest.version,
-            omitted,
-            "this build cannot read further values of the version"
-        );
-    }
-}
-
-fn log_event(event: &Event, source: &str, offset: u64) {
-    match event {
-        Event::Version(version) => {
-            tracing::info!(version, source, offset, "new version applied");
-        }
-        Event::DataCentre(name, true) => {
-            tracing::info!(data_centre = %name, source, offset, "data centre evacuated");
-        }
-        Event::DataCentre(name, false) => {
-            tracing::info!(data_centre = %name, source, offset, "data centre back in service");
-        }
-        Event::Upstream(id, change) => {
-            tracing::info!(upstream = %id, %change, source, offset, "upstream changed");
-        }
-        Event::Instance(name) => {
-            tracing::info!(instance = %name, source, offset, "instance changed");
-        }
-        Event::StoppedRequest(content) => {
-            let content = super::suspects::hex(*content);
-            tracing::info!(
-                content,
-                source,
-                offset,
-                "record of a stopped request changed"
-            );
-        }
-        Event::InvalidRecord(stream, key, error) => {
-            tracing::warn!(%stream, key = %key, %error, source, offset, "invalid record skipped");
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod repeated_refusals;
 mod scripted;
 mod server;
+mod slow_readers;
 mod store_copy;
 mod store_fork;
 mod store_trials;
