Instances that start ask for limits alone, not for whole states

Change: an instance that has read the instances asks two random ones for their limits. The choice is pure (decision/start_questions).

--- a/src/decision.rs
+++ b/src/decision.rs
@@ -20,6 +20,7 @@
 pub mod run_permits;
 pub mod selection;
 pub mod send_permits;
+pub mod start_questions;
 pub mod stop_time;
 pub mod store_reader;
 pub mod traffic_split;
--- a/src/gateway/limit_exchange.rs
+++ b/src/gateway/limit_exchange.rs
@@ -14,6 +14,7 @@
 use super::relay::{self, MAX_REPORTS};
 use super::state::Gateway;
 use super::store::Platform;
+use crate::decision::start_questions::StartQuestion;
 
 /// Interval between exchanges while there are limits.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -21,6 +22,8 @@
 const FIRST_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time in which another instance must respond.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Instances that one asks which has just started.
+const PEERS_AT_START: usize = 2;
 /// Instances with which one exchange is made: a quarter of all, within these bounds.
 const PEERS_PER_EXCHANGE: std::ops::RangeInclusive<usize> = 8..=32;
 /// Age of the last confirmation at which a limit is checked by a probe.
@@ -30,10 +33,14 @@
 pub async fn run<P: Platform>(gateway: Arc<Gateway<P>>) {
     loop {
         let has_learned = gateway.knows_limits();
-        if !has_learned {
-            relay::fetch_from_any_peer(&gateway).await;
-        } else if gateway.limits.table().limited() > 0 {
-            exchange(&gateway).await;
+        let is_loaded = gateway.are_instances_loaded();
+        match StartQuestion::choose(has_learned, is_loaded, gateway.now_ms()) {
+            StartQuestion::Limits => learn(&gateway).await,
+            StartQuestion::WholeState => relay::fetch_from_any_peer(&gateway).await,
+            StartQuestion::Nothing if has_learned && gateway.limits.table().limited() > 0 => {
+                exchange(&gateway).await;
+            }
+            StartQuestion::Nothing => {}
         }
         if !has_learned && !gateway.knows_limits() {
             sleep(FIRST_EXCHANGE_INTERVAL).await;
@@ -44,6 +51,22 @@
     }
 }
 
+/// Asks a few random instances for their limits alone.
+async fn learn<P: Platform>(gateway: &Arc<Gateway<P>>) {
+    let others = other_instances(gateway);
+    let sampled: Vec<SocketAddr> = others
+        .sample(&mut rand::rng(), PEERS_AT_START)
+        .copied()
+        .collect();
+    let asked = sampled
+        .into_iter()
+        .map(|address| exchange_with(gateway, address));
+    if join_all(asked).await.contains(&true) {
+        gateway.limits.set_told();
+        gateway.notify_changed();
+    }
+}
+
 async fn exchange<P: Platform>(gateway: &Arc<Gateway<P>>) {
     let others = other_instances(gateway);
     let count = (others.len() / 4).clamp(*PEERS_PER_EXCHANGE.start(), *PEERS_PER_EXCHANGE.end());
@@ -56,8 +79,9 @@
     .await;
 }
 
-/// Compares limits with another instance, and tells it all if it knows something else.
-async fn exchange_with<P: Platform>(gateway: &Arc<Gateway<P>>, address: SocketAddr) {
+/// Compares limits with another instance, and tells it all if it knows something else; returns
+/// whether it responds.
+async fn exchange_with<P: Platform>(gateway: &Arc<Gateway<P>>, address: SocketAddr) -> bool {
     let mut reports = Vec::new();
     for _ in 0..2 {
         let digest = gateway.limits.table().digest();
@@ -68,11 +92,11 @@
         let response = gateway.peers.call(address, EXCHANGE_TIMEOUT, call).await;
         gateway.on_peer_call(address, response.is_ok());
         match response {
-            Ok(told) if told.is_empty() => return,
+            Ok(told) if told.is_empty() => return true,
             Ok(told) => gateway.merge_limits(&told, &address.to_string()),
             Err(error) => {
                 tracing::debug!(%address, %error, "failed to exchange limits");
-                return;
+                return false;
             }
         }
         let now_ms = gateway.now_ms();
@@ -82,6 +106,7 @@
             .reports_after(0, MAX_REPORTS, now_ms)
             .0;
     }
+    true
 }
 
 /// All other known instances; the seeds while there are none.
--- a/src/gateway/rate_limits.rs
+++ b/src/gateway/rate_limits.rs
@@ -1,5 +1,6 @@
 //! What this instance knows of the rates that upstreams take from the whole fleet.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::{HeaderMap, HeaderName};
@@ -58,9 +59,21 @@
     permits: Mutex<SendPermits>,
     /// Until when upstreams have no permits for this instance.
     pub choice: LimitedChoice,
+    is_told: AtomicBool,
 }
 
 impl LimitState {
+    /// Whether another instance has told this one its limits.
+    #[must_use]
+    pub fn is_told(&self) -> bool {
+        self.is_told.load(Ordering::Relaxed)
+    }
+
+    /// Records that another instance has told this one its limits.
+    pub fn set_told(&self) {
+        self.is_told.store(true, Ordering::Relaxed);
+    }
+
     /// Locks the limits.
     pub fn table(&self) -> MutexGuard<'_, RateLimits> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -394,7 +394,7 @@
     /// none that could.
     #[must_use]
     pub fn knows_limits(&self) -> bool {
-        if self.has_heard_from_peer.load(Ordering::Relaxed) {
+        if self.has_heard_from_peer.load(Ordering::Relaxed) || self.limits.is_told() {
             return true;
         }
         let me = self.settings().peer_address;
