Keep the format of reasons: no new variants

Change: a closed route says no-upstream, a request that a stop would cut says refused; both are 503 and not run, as before. A taken request that a stop refuses is told as refused with its history.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -60,7 +60,7 @@
 pub async fn forward<P: Platform>(gateway: &Arc<Gateway<P>>, call: &Call) -> Outcome {
     let service = gateway.pick_service(&call.route);
     let Some(service) = service.filter(|service| gateway.knows_service(service)) else {
-        return Outcome::refused(Reason::RouteUnread, UNREAD_RETRY_AFTER_MS);
+        return Outcome::refused(Reason::NoUpstream, UNREAD_RETRY_AFTER_MS);
     };
     gateway.on_request(&service);
     let mut history = AttemptHistory::default();
@@ -191,7 +191,7 @@
             "request refused: this instance stops before it could be answered"
         );
     }
-    Outcome::refused(Reason::Stopping, STOPPING_RETRY_AFTER_MS)
+    Outcome::refused(Reason::Refused, STOPPING_RETRY_AFTER_MS)
 }
 
 fn has_unsent_left(history: &AttemptHistory) -> bool {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -36,8 +36,6 @@
     BadRequest,
     /// The body exceeds the size limit.
     BodyTooLong,
-    /// The version in force says of the route or its service what this build cannot read.
-    RouteUnread,
     /// The process is at its limit of requests or of memory for bodies.
     Overloaded,
     /// The route's service has no upstream that takes requests.
@@ -54,8 +52,6 @@
     CrashesUpstreams,
     /// Upstreams ended while they ran the request, and a copy of it is running.
     CopyRunning,
-    /// This instance stops before an upstream could have answered.
-    Stopping,
     /// The deadline passed before the request was sent to an upstream.
     LateUnsent,
     /// No response came in time after the request was sent, so it may have run.
@@ -72,7 +68,6 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoManifest
-            | Self::RouteUnread
             | Self::Overloaded
             | Self::NoUpstream
             | Self::NoRoom
@@ -81,7 +76,6 @@
             | Self::Refused
             | Self::CrashesUpstreams
             | Self::CopyRunning
-            | Self::Stopping
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -11,7 +11,7 @@
 use super::calls::{BodyReservation, Call};
 use super::forward::forward_taken;
 use super::handed::{HandedAnswer, HandedEnd, HandedRequest, Offer, decode_headers};
-use super::outcome::{Outcome, Reason};
+use super::outcome::Outcome;
 use super::state::Gateway;
 use super::store::Platform;
 
@@ -125,13 +125,6 @@
     let Some(outcome) = forward_taken(gateway, &call, &service, &mut history).await else {
         return not_taken("no upstream answers it either", 1);
     };
-    if let Outcome::GatewayError {
-        reason: Reason::Stopping,
-        ..
-    } = outcome
-    {
-        return not_taken("it stops", 1);
-    }
     // Its instance may not get the response, or may know the route as another kind.
     history.may_have_run |= matches!(outcome, Outcome::Answered(_));
     HandedAnswer::Ended {
