review: case 4, a stopped request runs again at all machines at once

Cause: the store returns from a copy without the stop while all gateways are restarted, and copies that come at once need no permit before the first end is known. Ports of the stand-ins are now taken below those of outgoing connections: a gateway had once not become ready.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -11,7 +11,7 @@
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -19,6 +19,10 @@
 const ZONES: [&str; 3] = ["perth-a", "perth-b", "perth-c"];
 const SERVICE: &str = "dispatch-desk";
 const HOST: &str = "robots.example";
+/// End of the path of a request that crashes each backend that begins to run it.
+const POISON: &str = "/poison";
+/// Time for which a crashed backend is down.
+const DOWN_TIME: Duration = Duration::from_secs(2);
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 /// Time after which a case that hangs is given up.
@@ -161,8 +165,21 @@
     (listener, address)
 }
 
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// A port that nobody listens at, below those that the system gives to outgoing connections.
 fn free_port() -> SocketAddr {
-    listen().1
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    loop {
+        let number = std::process::id() as usize * 64 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (number % 20_000) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("its address");
+        }
+    }
 }
 
 // ---- the platform's store
@@ -173,6 +190,8 @@
 struct Store {
     topics: Mutex<BTreeMap<String, Topic>>,
     written: Condvar,
+    era: AtomicUsize,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -196,9 +215,36 @@
         self.written.notify_all();
     }
 
+    /// Number of records of each topic, as a copy of the store has them.
+    fn lengths(&self) -> BTreeMap<String, usize> {
+        let topics = self.topics.lock().unwrap();
+        let lengths = topics.iter();
+        lengths.map(|(name, records)| (name.clone(), records.len())).collect()
+    }
+
+    /// Goes away and comes back from a copy.
+    fn return_from(&self, copy: &BTreeMap<String, usize>, away: Duration) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.written.notify_all();
+        sleep(away);
+        let mut topics = self.topics.lock().unwrap();
+        for (name, records) in topics.iter_mut() {
+            records.truncate(copy.get(name).copied().unwrap_or(0));
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
+    fn is_away(&self) -> bool {
+        self.is_away.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Ok(request) = read_message(&mut stream) {
+            if self.is_away() {
+                return;
+            }
             let topic = request.query("topic");
             let target = request.target().to_owned();
             let body = if target.starts_with("/api/log-append") {
@@ -210,7 +256,12 @@
                 let wait_ms = request.query("wait-ms").parse().unwrap_or(0);
                 self.read(&topic, from, Duration::from_millis(wait_ms))
             };
-            if write_answer(&mut stream, "200 OK", &[("Store-Era", "0".into())], &body).is_err() {
+            if self.is_away() {
+                return;
+            }
+            let era = self.era.load(Ordering::SeqCst).to_string();
+            let status = if body.is_empty() { "410 Gone" } else { "200 OK" };
+            if write_answer(&mut stream, status, &[("Store-Era", era)], &body).is_err() {
                 return;
             }
         }
@@ -258,8 +309,11 @@
         let mut topics = self.topics.lock().unwrap();
         loop {
             let end = topics.entry(topic.to_owned()).or_default().len();
+            if end < from {
+                return Vec::new();
+            }
             let left = until.saturating_duration_since(Instant::now());
-            if end > from || left.is_zero() {
+            if end > from || left.is_zero() || self.is_away() {
                 break;
             }
             topics = self.written.wait_timeout(topics, left).unwrap().0;
@@ -309,6 +363,10 @@
 
 struct Backend {
     id: String,
+    address: SocketAddr,
+    is_up: AtomicBool,
+    born_ms: AtomicU64,
+    connections: Mutex<Vec<TcpStream>>,
     work: Duration,
     answer: Mutex<Answer>,
     running: AtomicUsize,
@@ -319,6 +377,38 @@
 }
 
 impl Backend {
+    /// Accepts connections; after a crash it is back after [`DOWN_TIME`], at its address and
+    /// under its id.
+    fn listen(self: &Arc<Self>, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            let taken = listener.take().or_else(|| TcpListener::bind(self.address).ok());
+            let Some(open) = taken else {
+                sleep(Duration::from_millis(10));
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            self.born_ms.store(unix_ms(), Ordering::SeqCst);
+            self.is_up.store(true, Ordering::SeqCst);
+            while self.is_up.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = open.accept() else {
+                    sleep(Duration::from_micros(500));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let copy = stream.try_clone().expect("a descriptor");
+                self.connections.lock().unwrap().push(copy);
+                let backend = Arc::clone(self);
+                thread::spawn(move || backend.serve(stream));
+            }
+            drop(open);
+            for stream in self.connections.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+            }
+            sleep(DOWN_TIME);
+        }
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Ok(request) = read_message(&mut stream) {
@@ -352,6 +442,11 @@
         self.runs.lock().unwrap().push(id.to_owned());
         let start = &request.start;
         self.record.add(format!("run       {id} at {}: {start}", self.id));
+        if request.target().ends_with(POISON) {
+            self.record.add(format!("crash     {} under {id}", self.id));
+            self.is_up.store(false, Ordering::SeqCst);
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         self.running.fetch_add(1, Ordering::SeqCst);
         sleep(self.work);
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -386,6 +481,7 @@
 
 struct Gateway {
     child: Child,
+    file: PathBuf,
     caller: SocketAddr,
     ready: SocketAddr,
     has_exited: bool,
@@ -423,10 +519,13 @@
     gateways: Vec<Gateway>,
     backends: Vec<Arc<Backend>>,
     runs: Arc<Mutex<Vec<String>>>,
+    store: Arc<Store>,
     folder: PathBuf,
 }
 
 struct Shape {
+    gateways: usize,
+    backends: usize,
     kind: &'static str,
     timeout_ms: u64,
     work: Duration,
@@ -435,7 +534,7 @@
 }
 
 impl Deployment {
-    /// Starts three gateways and six backends of one service in three zones.
+    /// Starts gateways and backends of one service in three zones.
     fn start(shape: &Shape) -> Result<Self, String> {
         let record = Arc::new(Record {
             began: Instant::now(),
@@ -449,16 +548,18 @@
             gateways: Vec::new(),
             backends: Vec::new(),
             runs: Arc::default(),
+            store: Arc::default(),
             folder,
         };
         let Shape { kind, timeout_ms, .. } = shape;
         store.put("keyed.op", "config", &format!(
             "{{\"version\":7,\"routes\":{{\"r-1\":{{\"host\":\"{HOST}\",\"path-prefix\":\"/dispatch/\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"target-latency\":\"1000ms\",\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":2}}}},\"services\":{{\"{SERVICE}\":{{\"health-path\":\"/healthz\",\"max-conns\":220,\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmup-per-s\":21.0}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\"header-timeout\":\"3000ms\",\"idle-timeout\":\"15000ms\"}}}}"
         ));
-        for number in 0..6 {
+        for number in 0..shape.backends {
             deployment.start_backend(number, shape, &store);
         }
-        deployment.start_gateways(store_address, shape.memory_mb)?;
+        deployment.start_gateways(store_address, shape)?;
+        deployment.store = store;
         Ok(deployment)
     }
 
@@ -466,6 +567,10 @@
         let (listener, address) = listen();
         let backend = Arc::new(Backend {
             id: format!("i-{number}"),
+            address,
+            is_up: AtomicBool::new(true),
+            born_ms: AtomicU64::new(unix_ms()),
+            connections: Mutex::default(),
             work: shape.work,
             answer: Mutex::new(shape.answer),
             running: AtomicUsize::new(0),
@@ -475,31 +580,31 @@
             runs: Arc::clone(&self.runs),
         });
         self.backends.push(Arc::clone(&backend));
-        let (id, zone) = (backend.id.clone(), ZONES[number % 3]);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let backend = Arc::clone(&backend);
-                thread::spawn(move || backend.serve(stream));
-            }
-        });
+        let zone = ZONES[number % 3];
+        let serving = Arc::clone(&backend);
+        thread::spawn(move || serving.listen(listener));
         let store = Arc::clone(store);
         thread::spawn(move || {
             for seq in 1.. {
-                store.put("keyed.servers", &id, &format!(
-                    "{{\"service\":\"{SERVICE}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"warmup-left\":\"0ms\",\"seq\":{seq},\"born\":1700000000000}}"
-                ));
+                if backend.is_up.load(Ordering::SeqCst) {
+                    let (id, born) = (&backend.id, backend.born_ms.load(Ordering::SeqCst));
+                    store.put("keyed.servers", id, &format!(
+                        "{{\"service\":\"{SERVICE}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"warmup-left\":\"0ms\",\"seq\":{seq},\"born\":{born}}}"
+                    ));
+                }
                 sleep(Duration::from_millis(1_500));
             }
         });
     }
 
-    fn start_gateways(&mut self, store: SocketAddr, memory_mb: u64) -> Result<(), String> {
+    fn start_gateways(&mut self, store: SocketAddr, shape: &Shape) -> Result<(), String> {
         let mut ports: Vec<[SocketAddr; 4]> = Vec::new();
-        for _ in 0..3 {
+        let memory_mb = shape.memory_mb;
+        for _ in 0..shape.gateways {
             ports.push([free_port(), free_port(), free_port(), free_port()]);
         }
         let seeds: Vec<String> = ports.iter().map(|[.., peer]| format!("\"{peer}\"")).collect();
-        let seeds = seeds.join(",");
+        let seeds = seeds[..seeds.len().min(3)].join(",");
         for (number, [caller, ready, metrics, peer]) in ports.into_iter().enumerate() {
             let file = self.folder.join(format!("gate-{number}.jsonc"));
             let zone = ZONES[number % 3];
@@ -507,23 +612,39 @@
                 "{{\"name\":\"gate-{number}\",\"data_centre\":\"{zone}\",\"caller_address\":\"{caller}\",\"ready_address\":\"{ready}\",\"metrics_address\":\"{metrics}\",\"peer_address\":\"{peer}\",\"seeds\":[{seeds}],\"is_first_start\":\"true\",\"store_address\":\"{store}\",\"memory_limit_mb\":{memory_mb},\"stop_limit\":\"6s\",\"repeat_ratio\":\"0.2\",\"repeat_slack\":\"58\",\"repeat_window\":\"10s\",\"cold_factor\":\"1.5\",\"cold_slack\":\"5\",\"probes_per_s\":\"60\"}}"
             );
             std::fs::write(&file, text).map_err(|error| error.to_string())?;
-            let log = std::fs::File::create(self.folder.join(format!("gate-{number}.log")));
-            let log = log.map_err(|error| error.to_string())?;
-            let child = Command::new("target/release/chicorywing-gateway")
-                .arg("--settings")
-                .arg(&file)
-                .stdout(Stdio::from(log.try_clone().map_err(|error| error.to_string())?))
-                .stderr(Stdio::from(log))
-                .spawn()
-                .map_err(|error| format!("target/release/chicorywing-gateway: {error}"))?;
-            STARTED.lock().unwrap().push(child.id());
+            let child = spawn(&file)?;
             self.gateways.push(Gateway {
                 child,
+                file,
                 caller,
                 ready,
                 has_exited: false,
             });
         }
+        self.await_readiness()
+    }
+
+    /// Kills all gateways and starts them again after `down`.
+    fn restart_gateways(&mut self, down: Duration) -> Result<(), String> {
+        for gateway in &mut self.gateways {
+            STARTED.lock().unwrap().retain(|process| *process != gateway.child.id());
+            gateway.child.kill().map_err(|error| error.to_string())?;
+            gateway.child.wait().map_err(|error| error.to_string())?;
+            gateway.has_exited = true;
+        }
+        sleep(down);
+        for gateway in &mut self.gateways {
+            let text = std::fs::read_to_string(&gateway.file).map_err(|error| error.to_string())?;
+            let text = text.replace("\"is_first_start\":\"true\"", "\"is_first_start\":\"false\"");
+            std::fs::write(&gateway.file, text).map_err(|error| error.to_string())?;
+            gateway.child = spawn(&gateway.file)?;
+            gateway.has_exited = false;
+        }
+        self.await_readiness()
+    }
+
+    /// Waits until all are ready, then for a calm second more than `stable-window`.
+    fn await_readiness(&self) -> Result<(), String> {
         let until = Instant::now() + Duration::from_secs(20);
         while !self.gateways.iter().all(Gateway::is_ready) {
             if Instant::now() > until {
@@ -531,7 +652,6 @@
             }
             sleep(Duration::from_millis(100));
         }
-        // Calm before the first request: stable-window, and a second more.
         sleep(Duration::from_secs(4));
         Ok(())
     }
@@ -541,6 +661,24 @@
     }
 }
 
+fn spawn(settings: &PathBuf) -> Result<Child, String> {
+    let log = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))
+        .map_err(|error| error.to_string())?;
+    let errors = log.try_clone().map_err(|error| error.to_string())?;
+    let child = Command::new("target/release/chicorywing-gateway")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(Stdio::from(log))
+        .stderr(Stdio::from(errors))
+        .spawn()
+        .map_err(|error| format!("target/release/chicorywing-gateway: {error}"))?;
+    STARTED.lock().unwrap().push(child.id());
+    Ok(child)
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.gateways.clear();
@@ -560,9 +698,10 @@
     method: &str,
     deadline_ms: u64,
 ) -> Result<Message, String> {
+    let path = if id.starts_with("poison") { POISON.to_owned() } else { format!("/{id}") };
     let body = if method == "GET" { "" } else { "room=412" };
     let text = format!(
-        "{method} /dispatch/{id} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        "{method} /dispatch{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
     let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms + 1_000)));
@@ -671,6 +810,8 @@
 fn stop_on_a_narrow_link(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
     const REQUESTS: usize = 2;
     let mut deployment = Deployment::start(&Shape {
+        gateways: 3,
+        backends: 6,
         kind: "unsafe",
         timeout_ms: 4_000,
         work: Duration::from_millis(100),
@@ -728,6 +869,8 @@
 fn failure_passed_on_as_promise(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
     const CHARGES: usize = 60;
     let deployment = Deployment::start(&Shape {
+        gateways: 3,
+        backends: 6,
         kind: "unsafe",
         timeout_ms: 2_000,
         work: Duration::from_millis(50),
@@ -764,6 +907,8 @@
 /// Backends announce a very long time for idle connections.
 fn long_keep_alive(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
     let deployment = Deployment::start(&Shape {
+        gateways: 3,
+        backends: 6,
         kind: "unsafe",
         timeout_ms: 2_000,
         work: Duration::from_millis(50),
@@ -787,6 +932,67 @@
     Ok((record, broken))
 }
 
+/// A request that crashes backends is stopped; the store returns from a copy without that, and
+/// all gateways lose power meanwhile. Later copies of it come at once.
+fn stop_forgotten(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
+    const COPIES: usize = 6;
+    const ALLOWED: usize = 3;
+    let mut deployment = Deployment::start(&Shape {
+        gateways: 6,
+        backends: 14,
+        kind: "unsafe",
+        timeout_ms: 2_000,
+        work: Duration::from_millis(50),
+        memory_mb: 260,
+        answer: Answer::Bytes(400),
+    })?;
+    let record = Arc::clone(&deployment.record);
+    let copy = deployment.store.lengths();
+    let send = |caller: SocketAddr, id: String| {
+        let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
+        request(&record, &mut stream, &id, "POST", 2_000)
+    };
+    for number in 0..5 {
+        let caller = deployment.gateways[number].caller;
+        let _ = send(caller, format!("poison-{number}"));
+        sleep(Duration::from_millis(100));
+    }
+    let before = deployment.runs.lock().unwrap().len();
+    // The copy is some two seconds old when the store returns from it.
+    sleep(Duration::from_millis(900));
+    if trouble {
+        record.add("drill     the store goes away, and all gateways lose power");
+        let store = Arc::clone(&deployment.store);
+        let drill = thread::spawn(move || store.return_from(&copy, Duration::from_millis(500)));
+        deployment.restart_gateways(Duration::from_millis(900))?;
+        drill.join().map_err(|_| "the drill failed".to_owned())?;
+        record.add("drill     over for more than stable-window");
+    } else {
+        sleep(Duration::from_secs(6));
+    }
+    let mut callers = Vec::new();
+    for number in 0..COPIES {
+        let caller = deployment.gateways[number].caller;
+        let record = Arc::clone(&record);
+        callers.push(thread::spawn(move || {
+            let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
+            request(&record, &mut stream, &format!("poison-later-{number}"), "POST", 2_000)
+        }));
+    }
+    for caller in callers {
+        let _ = caller.join();
+    }
+    let later = deployment.runs.lock().unwrap().len() - before;
+    let mut broken = Vec::new();
+    if before < ALLOWED {
+        return Err(format!("it crashed only {before} backends at first"));
+    }
+    if later > ALLOWED {
+        broken.push(format!("it reached backends {later} times more, at most {ALLOWED} are allowed"));
+    }
+    Ok((record, broken))
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, path] = &arguments[..] else {
@@ -798,6 +1004,7 @@
     let played = match case.as_str() {
         "stop-on-a-narrow-link" => stop_on_a_narrow_link(trouble),
         "failure-passed-on-as-promise" => failure_passed_on_as_promise(trouble),
+        "stop-forgotten" => stop_forgotten(trouble),
         "long-keep-alive" => long_keep_alive(trouble),
         _ => Err(format!("no case is called {case}")),
     };
