review: case 3, a request that crashes both upstreams of a small service is never stopped

Cause: the end of the last upstream that answers is taken for lost links of the instance, and the evidence is dropped for good.

--- a/review/cases.rs
+++ b/review/cases.rs
@@ -22,7 +22,7 @@
 /// End of the path of a request that crashes each backend that begins to run it.
 const POISON: &str = "/poison";
 /// Time for which a crashed backend is down.
-const DOWN_TIME: Duration = Duration::from_secs(2);
+const DOWN_TIME: Duration = Duration::from_secs(3);
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 /// Time after which a case that hangs is given up.
@@ -932,13 +932,61 @@
     Ok((record, broken))
 }
 
+/// A request crashes each backend that begins to run it, and its caller sends it again every
+/// second, at any machine. The deployment has one service with two backends.
+fn poison_of_a_small_service(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
+    const REPEATED_FOR: Duration = Duration::from_secs(25);
+    const STABLE_WINDOW: Duration = Duration::from_secs(3);
+    const CRASHES: usize = 3;
+    const ALLOWED: usize = 3;
+    let deployment = Deployment::start(&Shape {
+        gateways: 3,
+        backends: 2,
+        kind: "unsafe",
+        timeout_ms: 1_000,
+        work: Duration::from_millis(50),
+        memory_mb: 260,
+        answer: Answer::Bytes(400),
+    })?;
+    let record = Arc::clone(&deployment.record);
+    let name = if trouble { "poison" } else { "harmless" };
+    let until = Instant::now() + REPEATED_FOR;
+    let mut ran_at = Vec::new();
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let id = format!("{name}-{number}");
+        let caller = deployment.gateways[number % 3].caller;
+        let sent_at = record.began.elapsed();
+        let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
+        let _ = request(&record, &mut stream, &id, "POST", 1_000);
+        if deployment.has_run(&id) {
+            ran_at.push(sent_at);
+        }
+        sleep(Duration::from_secs(1));
+    }
+    let mut broken = Vec::new();
+    if trouble {
+        let third = *ran_at.get(CRASHES - 1).ok_or("it crashed fewer than three backends")?;
+        let later = ran_at.iter().filter(|at| **at > third + STABLE_WINDOW).count();
+        record.add(format!("{} runs, {later} of them later than allowed", ran_at.len()));
+        if later > ALLOWED {
+            broken.push(format!(
+                "it reached backends {later} times later than {STABLE_WINDOW:?} after the third crash, at most {ALLOWED} are allowed"
+            ));
+        }
+    }
+    Ok((record, broken))
+}
+
 /// A request that crashes backends is stopped; the store returns from a copy without that, and
 /// all gateways lose power meanwhile. Later copies of it come at once.
 fn stop_forgotten(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
-    const COPIES: usize = 6;
+    const COPIES: usize = 8;
     const ALLOWED: usize = 3;
     let mut deployment = Deployment::start(&Shape {
-        gateways: 6,
+        gateways: 8,
         backends: 14,
         kind: "unsafe",
         timeout_ms: 2_000,
@@ -1004,6 +1052,7 @@
     let played = match case.as_str() {
         "stop-on-a-narrow-link" => stop_on_a_narrow_link(trouble),
         "failure-passed-on-as-promise" => failure_passed_on_as_promise(trouble),
+        "poison-of-a-small-service" => poison_of_a_small_service(trouble),
         "stop-forgotten" => stop_forgotten(trouble),
         "long-keep-alive" => long_keep_alive(trouble),
         _ => Err(format!("no case is called {case}")),
