review: case 3, full upstreams are taken for lost links, and a planned stop loses their requests

Cause: probes that wait for a slot count as silence; three silent upstreams begin the belief that no upstream answers, and exchange_until then drops idempotent requests in flight, also while the instance stops.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
   echo "build first: the build of the deploy file, and review/build.sh" >&2
   exit 2
 fi
-target/review/cases poison-of-a-small-service review/3/record.txt
+target/review/cases stop-with-full-backends review/3/record.txt
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -22,7 +22,7 @@
 /// End of the path of a request that crashes each backend that begins to run it.
 const POISON: &str = "/poison";
 /// Time for which a crashed backend is down.
-const DOWN_TIME: Duration = Duration::from_secs(3);
+const DOWN_TIME: Duration = Duration::from_secs(2);
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 /// Time after which a case that hangs is given up.
@@ -357,8 +357,6 @@
     Bytes(usize),
     /// The same, but every second request fails with 503 or 429, without `X-Not-Executed`.
     FailsBySecond,
-    /// 200, and a `Keep-Alive` header with this time in seconds.
-    KeepsAlive(&'static str),
 }
 
 struct Backend {
@@ -372,6 +370,7 @@
     running: AtomicUsize,
     runs_here: AtomicUsize,
     slots: usize,
+    tells_load: bool,
     record: Arc<Record>,
     runs: Arc<Mutex<Vec<String>>>,
 }
@@ -419,9 +418,13 @@
                 headers.push(("X-Instance-Id", self.id.clone()));
                 write_answer(&mut stream, "421 Misdirected Request", &headers, b"")
             } else if request.target() == "/healthz" {
-                let running = self.running.load(Ordering::SeqCst);
                 headers.push(("X-Instance-Id", self.id.clone()));
-                headers.push(("X-Server-Load", format!("{running},0,{},100", self.slots)));
+                if self.tells_load {
+                    headers.push(("X-Server-Load", self.load()));
+                } else {
+                    self.take_slot();
+                    self.running.fetch_sub(1, Ordering::SeqCst);
+                }
                 write_answer(&mut stream, "200 OK", &headers, b"")
             } else {
                 self.run(&mut stream, &request, &id, headers)
@@ -432,6 +435,36 @@
         }
     }
 
+    fn load(&self) -> String {
+        let running = self.running.load(Ordering::SeqCst);
+        format!("{running},0,{},100", self.slots)
+    }
+
+    /// Waits for a slot; only a backend that doesn't tell its load is ever full here.
+    fn take_slot(&self) {
+        loop {
+            let running = self.running.load(Ordering::SeqCst);
+            let is_free = running < self.slots || self.tells_load;
+            let (order, next) = (Ordering::SeqCst, running + 1);
+            if is_free && self.running.compare_exchange(running, next, order, order).is_ok() {
+                return;
+            }
+            sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Works; false if the connection was closed meanwhile, which drops the request.
+    fn work_while_wanted(&self, stream: &TcpStream) -> bool {
+        let until = Instant::now() + self.work;
+        while Instant::now() < until {
+            sleep(Duration::from_millis(2));
+            if is_closed(stream) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn run(
         &self,
         stream: &mut TcpStream,
@@ -439,19 +472,30 @@
         id: &str,
         mut headers: Vec<(&str, String)>,
     ) -> io::Result<()> {
-        self.runs.lock().unwrap().push(id.to_owned());
         let start = &request.start;
+        self.take_slot();
+        if is_closed(stream) {
+            self.running.fetch_sub(1, Ordering::SeqCst);
+            self.record.add(format!("left      {id} the queue of {}, not run", self.id));
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        self.runs.lock().unwrap().push(id.to_owned());
         self.record.add(format!("run       {id} at {}: {start}", self.id));
         if request.target().ends_with(POISON) {
+            self.running.fetch_sub(1, Ordering::SeqCst);
             self.record.add(format!("crash     {} under {id}", self.id));
             self.is_up.store(false, Ordering::SeqCst);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        self.running.fetch_add(1, Ordering::SeqCst);
-        sleep(self.work);
+        let is_wanted = self.work_while_wanted(stream);
         self.running.fetch_sub(1, Ordering::SeqCst);
-        let load = self.running.load(Ordering::SeqCst);
-        headers.push(("X-Server-Load", format!("{load},0,{},100", self.slots)));
+        if !is_wanted {
+            self.record.add(format!("dropped   {id} at {}: its connection was closed", self.id));
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        if self.tells_load {
+            headers.push(("X-Server-Load", self.load()));
+        }
         headers.push(("X-Server-Stamp", format!("{}.{id}", self.id)));
         let answer = *self.answer.lock().unwrap();
         let (status, body) = match answer {
@@ -462,11 +506,6 @@
                 2 => ("429 Too Many Requests", b"failed while it ran".to_vec()),
                 _ => ("200 OK", vec![b'r'; 400]),
             },
-            Answer::KeepsAlive(seconds) => {
-                let seconds = if id.starts_with("small") { "10" } else { seconds };
-                headers.push(("Keep-Alive", format!("timeout={seconds}")));
-                ("200 OK", b"done".to_vec())
-            }
         };
         self.record.add(format!(
             "backend   {} answers {id}: {status}, {} bytes",
@@ -477,6 +516,14 @@
     }
 }
 
+/// Whether the other side has closed a connection.
+fn is_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let is_closed = matches!(stream.peek(&mut [0]), Ok(0));
+    let _ = stream.set_nonblocking(false);
+    is_closed
+}
+
 // ---- a small deployment
 
 struct Gateway {
@@ -526,6 +573,10 @@
 struct Shape {
     gateways: usize,
     backends: usize,
+    slots: usize,
+    /// Whether backends tell their load; otherwise probes wait for a slot like any request.
+    tells_load: bool,
+    attempts: usize,
     kind: &'static str,
     timeout_ms: u64,
     work: Duration,
@@ -551,9 +602,9 @@
             store: Arc::default(),
             folder,
         };
-        let Shape { kind, timeout_ms, .. } = shape;
+        let Shape { kind, timeout_ms, attempts, .. } = shape;
         store.put("keyed.op", "config", &format!(
-            "{{\"version\":7,\"routes\":{{\"r-1\":{{\"host\":\"{HOST}\",\"path-prefix\":\"/dispatch/\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"target-latency\":\"1000ms\",\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":2}}}},\"services\":{{\"{SERVICE}\":{{\"health-path\":\"/healthz\",\"max-conns\":220,\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmup-per-s\":21.0}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\"header-timeout\":\"3000ms\",\"idle-timeout\":\"15000ms\"}}}}"
+            "{{\"version\":7,\"routes\":{{\"r-1\":{{\"host\":\"{HOST}\",\"path-prefix\":\"/dispatch/\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"target-latency\":\"1000ms\",\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":{attempts}}}}},\"services\":{{\"{SERVICE}\":{{\"health-path\":\"/healthz\",\"max-conns\":220,\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmup-per-s\":21.0}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\"header-timeout\":\"3000ms\",\"idle-timeout\":\"15000ms\"}}}}"
         ));
         for number in 0..shape.backends {
             deployment.start_backend(number, shape, &store);
@@ -575,7 +626,8 @@
             answer: Mutex::new(shape.answer),
             running: AtomicUsize::new(0),
             runs_here: AtomicUsize::new(0),
-            slots: 4,
+            slots: shape.slots,
+            tells_load: shape.tells_load,
             record: Arc::clone(&self.record),
             runs: Arc::clone(&self.runs),
         });
@@ -587,9 +639,10 @@
         thread::spawn(move || {
             for seq in 1.. {
                 if backend.is_up.load(Ordering::SeqCst) {
+                    let slots = backend.slots;
                     let (id, born) = (&backend.id, backend.born_ms.load(Ordering::SeqCst));
                     store.put("keyed.servers", id, &format!(
-                        "{{\"service\":\"{SERVICE}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"warmup-left\":\"0ms\",\"seq\":{seq},\"born\":{born}}}"
+                        "{{\"service\":\"{SERVICE}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"warmup-left\":\"0ms\",\"seq\":{seq},\"born\":{born}}}"
                     ));
                 }
                 sleep(Duration::from_millis(1_500));
@@ -812,6 +865,9 @@
     let mut deployment = Deployment::start(&Shape {
         gateways: 3,
         backends: 6,
+        slots: 4,
+        tells_load: true,
+        attempts: 2,
         kind: "unsafe",
         timeout_ms: 4_000,
         work: Duration::from_millis(100),
@@ -871,6 +927,9 @@
     let deployment = Deployment::start(&Shape {
         gateways: 3,
         backends: 6,
+        slots: 4,
+        tells_load: true,
+        attempts: 2,
         kind: "unsafe",
         timeout_ms: 2_000,
         work: Duration::from_millis(50),
@@ -904,44 +963,84 @@
     Ok((record, broken))
 }
 
-/// Backends announce a very long time for idle connections.
-fn long_keep_alive(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
+/// A planned stop while the slots of all backends are in use. They are sound, but don't tell
+/// their load, so that probes wait for a slot.
+fn stop_with_full_backends(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
+    const BACKENDS: usize = 3;
+    const SLOTS: usize = 2;
+    const DEADLINE_MS: u64 = 2_900;
     let deployment = Deployment::start(&Shape {
         gateways: 3,
-        backends: 6,
-        kind: "unsafe",
-        timeout_ms: 2_000,
-        work: Duration::from_millis(50),
+        backends: BACKENDS,
+        slots: SLOTS,
+        tells_load: false,
+        attempts: 1,
+        kind: "safe",
+        timeout_ms: 3_000,
+        work: Duration::from_millis(900),
         memory_mb: 260,
-        answer: Answer::KeepsAlive(if trouble { "18446744073709551615" } else { "10" }),
+        answer: Answer::Bytes(400),
     })?;
     let record = Arc::clone(&deployment.record);
-    let mut broken = Vec::new();
-    for number in 0..12 {
-        let id = format!("book-{number}");
-        let caller = deployment.gateways[number % 3].caller;
+    let caller = deployment.gateways[0].caller;
+    for number in 0..3 {
         let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
-        request(&record, &mut stream, &format!("small-{number}"), "POST", 2_000)?;
-        let answer = request(&record, &mut stream, &id, "POST", 2_000);
-        if let Err(error) = answer
+        request(&record, &mut stream, &format!("before-{number}"), "GET", DEADLINE_MS)?;
+    }
+    let mut callers = Vec::new();
+    let mut send = |id: String| {
+        let record = Arc::clone(&record);
+        let name = id.clone();
+        let sent = thread::spawn(move || {
+            let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
+            request(&record, &mut stream, &name, "GET", DEADLINE_MS)
+        });
+        callers.push((id, sent));
+    };
+    for number in 0..BACKENDS * SLOTS {
+        send(format!("first-{number}"));
+        sleep(Duration::from_millis(15));
+    }
+    sleep(Duration::from_millis(60));
+    if trouble {
+        record.add("SIGTERM   gate-0");
+        deployment.gateways[0].signal(SIGTERM);
+    }
+    sleep(Duration::from_millis(50));
+    for number in 0..BACKENDS * SLOTS {
+        send(format!("second-{number}"));
+        sleep(Duration::from_millis(10));
+    }
+    let mut broken = Vec::new();
+    for (id, caller) in callers {
+        let answer = caller.join().map_err(|_| "a caller failed".to_owned())?;
+        // The rule is one of planned stops: it says nothing of the same without SIGTERM.
+        if let Ok(answer) = answer
+            && trouble
             && deployment.has_run(&id)
+            && answer.header("x-server-stamp").is_none()
         {
-            broken.push(format!("{id} ran, and its connection ended without an answer: {error}"));
+            let status = answer.start;
+            broken.push(format!("{id}: its backend was at work, and it got {status} in place of the answer"));
         }
     }
     Ok((record, broken))
 }
 
-/// A request crashes each backend that begins to run it, and its caller sends it again every
-/// second, at any machine. The deployment has one service with two backends.
+/// A request crashes each backend that begins to run it, and its caller sends it again 0.7 s
+/// after each answer, at any machine. The deployment has one service with two backends.
 fn poison_of_a_small_service(trouble: bool) -> Result<(Arc<Record>, Broken), String> {
-    const REPEATED_FOR: Duration = Duration::from_secs(25);
+    const REPEATED_FOR: Duration = Duration::from_secs(30);
+    const PAUSE: Duration = Duration::from_millis(700);
     const STABLE_WINDOW: Duration = Duration::from_secs(3);
     const CRASHES: usize = 3;
     const ALLOWED: usize = 3;
     let deployment = Deployment::start(&Shape {
         gateways: 3,
         backends: 2,
+        slots: 4,
+        tells_load: true,
+        attempts: 2,
         kind: "unsafe",
         timeout_ms: 1_000,
         work: Duration::from_millis(50),
@@ -964,7 +1063,7 @@
         if deployment.has_run(&id) {
             ran_at.push(sent_at);
         }
-        sleep(Duration::from_secs(1));
+        sleep(PAUSE);
     }
     let mut broken = Vec::new();
     if trouble {
@@ -988,6 +1087,9 @@
     let mut deployment = Deployment::start(&Shape {
         gateways: 8,
         backends: 14,
+        slots: 4,
+        tells_load: true,
+        attempts: 2,
         kind: "unsafe",
         timeout_ms: 2_000,
         work: Duration::from_millis(50),
@@ -1054,7 +1156,7 @@
         "failure-passed-on-as-promise" => failure_passed_on_as_promise(trouble),
         "poison-of-a-small-service" => poison_of_a_small_service(trouble),
         "stop-forgotten" => stop_forgotten(trouble),
-        "long-keep-alive" => long_keep_alive(trouble),
+        "stop-with-full-backends" => stop_with_full_backends(trouble),
         _ => Err(format!("no case is called {case}")),
     };
     let (record, broken) = match played {
