--- a/review/cases.rs
+++ b/review/cases.rs
@@ -219,7 +219,9 @@
     fn lengths(&self) -> BTreeMap<String, usize> {
         let topics = self.topics.lock().unwrap();
         let lengths = topics.iter();
-        lengths.map(|(name, records)| (name.clone(), records.len())).collect()
+        lengths
+            .map(|(name, records)| (name.clone(), records.len()))
+            .collect()
     }
 
     /// Goes away and comes back from a copy.
@@ -260,7 +262,11 @@
                 return;
             }
             let era = self.era.load(Ordering::SeqCst).to_string();
-            let status = if body.is_empty() { "410 Gone" } else { "200 OK" };
+            let status = if body.is_empty() {
+                "410 Gone"
+            } else {
+                "200 OK"
+            };
             if write_answer(&mut stream, status, &[("Store-Era", era)], &body).is_err() {
                 return;
             }
@@ -342,7 +348,11 @@
         }
         for index in 0..4 {
             let digit = DIGITS[(word >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= part.len() { digit as char } else { '=' });
+            text.push(if index <= part.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
@@ -381,7 +391,9 @@
     fn listen(self: &Arc<Self>, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
-            let taken = listener.take().or_else(|| TcpListener::bind(self.address).ok());
+            let taken = listener
+                .take()
+                .or_else(|| TcpListener::bind(self.address).ok());
             let Some(open) = taken else {
                 sleep(Duration::from_millis(10));
                 continue;
@@ -446,7 +458,12 @@
             let running = self.running.load(Ordering::SeqCst);
             let is_free = running < self.slots || self.tells_load;
             let (order, next) = (Ordering::SeqCst, running + 1);
-            if is_free && self.running.compare_exchange(running, next, order, order).is_ok() {
+            if is_free
+                && self
+                    .running
+                    .compare_exchange(running, next, order, order)
+                    .is_ok()
+            {
                 return;
             }
             sleep(Duration::from_millis(1));
@@ -476,11 +493,13 @@
         self.take_slot();
         if is_closed(stream) {
             self.running.fetch_sub(1, Ordering::SeqCst);
-            self.record.add(format!("left      {id} the queue of {}, not run", self.id));
+            self.record
+                .add(format!("left      {id} the queue of {}, not run", self.id));
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         self.runs.lock().unwrap().push(id.to_owned());
-        self.record.add(format!("run       {id} at {}: {start}", self.id));
+        self.record
+            .add(format!("run       {id} at {}: {start}", self.id));
         if request.target().ends_with(POISON) {
             self.running.fetch_sub(1, Ordering::SeqCst);
             self.record.add(format!("crash     {} under {id}", self.id));
@@ -490,7 +509,10 @@
         let is_wanted = self.work_while_wanted(stream);
         self.running.fetch_sub(1, Ordering::SeqCst);
         if !is_wanted {
-            self.record.add(format!("dropped   {id} at {}: its connection was closed", self.id));
+            self.record.add(format!(
+                "dropped   {id} at {}: its connection was closed",
+                self.id
+            ));
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         if self.tells_load {
@@ -553,7 +575,10 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        STARTED.lock().unwrap().retain(|process| *process != self.child.id());
+        STARTED
+            .lock()
+            .unwrap()
+            .retain(|process| *process != self.child.id());
         if !self.has_exited {
             let _ = self.child.kill();
             let _ = self.child.wait();
@@ -602,7 +627,12 @@
             store: Arc::default(),
             folder,
         };
-        let Shape { kind, timeout_ms, attempts, .. } = shape;
+        let Shape {
+            kind,
+            timeout_ms,
+            attempts,
+            ..
+        } = shape;
         store.put("keyed.op", "config", &format!(
             "{{\"version\":7,\"routes\":{{\"r-1\":{{\"host\":\"{HOST}\",\"path-prefix\":\"/dispatch/\",\"kind\":\"{kind}\",\"timeout\":\"{timeout_ms}ms\",\"target-latency\":\"1000ms\",\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":{attempts}}}}},\"services\":{{\"{SERVICE}\":{{\"health-path\":\"/healthz\",\"max-conns\":220,\"protocol\":\"h1\",\"tls\":false,\"warmup\":\"3s\",\"warmup-per-s\":21.0}}}},\"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,\"header-timeout\":\"3000ms\",\"idle-timeout\":\"15000ms\"}}}}"
         ));
@@ -656,7 +686,10 @@
         for _ in 0..shape.gateways {
             ports.push([free_port(), free_port(), free_port(), free_port()]);
         }
-        let seeds: Vec<String> = ports.iter().map(|[.., peer]| format!("\"{peer}\"")).collect();
+        let seeds: Vec<String> = ports
+            .iter()
+            .map(|[.., peer]| format!("\"{peer}\""))
+            .collect();
         let seeds = seeds[..seeds.len().min(3)].join(",");
         for (number, [caller, ready, metrics, peer]) in ports.into_iter().enumerate() {
             let file = self.folder.join(format!("gate-{number}.jsonc"));
@@ -680,7 +713,10 @@
     /// Kills all gateways and starts them again after `down`.
     fn restart_gateways(&mut self, down: Duration) -> Result<(), String> {
         for gateway in &mut self.gateways {
-            STARTED.lock().unwrap().retain(|process| *process != gateway.child.id());
+            STARTED
+                .lock()
+                .unwrap()
+                .retain(|process| *process != gateway.child.id());
             gateway.child.kill().map_err(|error| error.to_string())?;
             gateway.child.wait().map_err(|error| error.to_string())?;
             gateway.has_exited = true;
@@ -688,7 +724,10 @@
         sleep(down);
         for gateway in &mut self.gateways {
             let text = std::fs::read_to_string(&gateway.file).map_err(|error| error.to_string())?;
-            let text = text.replace("\"is_first_start\":\"true\"", "\"is_first_start\":\"false\"");
+            let text = text.replace(
+                "\"is_first_start\":\"true\"",
+                "\"is_first_start\":\"false\"",
+            );
             std::fs::write(&gateway.file, text).map_err(|error| error.to_string())?;
             gateway.child = spawn(&gateway.file)?;
             gateway.has_exited = false;
@@ -751,14 +790,20 @@
     method: &str,
     deadline_ms: u64,
 ) -> Result<Message, String> {
-    let path = if id.starts_with("poison") { POISON.to_owned() } else { format!("/{id}") };
+    let path = if id.starts_with("poison") {
+        POISON.to_owned()
+    } else {
+        format!("/{id}")
+    };
     let body = if method == "GET" { "" } else { "room=412" };
     let text = format!(
         "{method} /dispatch{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
     let _ = stream.set_read_timeout(Some(Duration::from_millis(deadline_ms + 1_000)));
-    record.add(format!("sent      {id}: {method}, deadline {deadline_ms} ms"));
+    record.add(format!(
+        "sent      {id}: {method}, deadline {deadline_ms} ms"
+    ));
     if let Err(error) = stream.write_all(text.as_bytes()) {
         record.add(format!("not sent  {id}: {error}"));
         return Err(error.to_string());
@@ -879,7 +924,13 @@
     let mut kept = Vec::new();
     for number in 0..REQUESTS {
         let mut stream = TcpStream::connect(link.address).map_err(|error| error.to_string())?;
-        request(&record, &mut stream, &format!("small-{number}"), "POST", 3_000)?;
+        request(
+            &record,
+            &mut stream,
+            &format!("small-{number}"),
+            "POST",
+            3_000,
+        )?;
         kept.push(stream);
     }
     let stopped_at = Instant::now();
@@ -893,7 +944,13 @@
     for (number, mut stream) in kept.into_iter().enumerate() {
         let record = Arc::clone(&record);
         consumers.push(thread::spawn(move || {
-            request(&record, &mut stream, &format!("book-{number}"), "POST", 3_000)
+            request(
+                &record,
+                &mut stream,
+                &format!("book-{number}"),
+                "POST",
+                3_000,
+            )
         }));
     }
     if trouble {
@@ -910,11 +967,15 @@
     let mut broken = Vec::new();
     for (number, consumer) in consumers.into_iter().enumerate() {
         let id = format!("book-{number}");
-        let answer = consumer.join().map_err(|_| "a consumer failed".to_owned())?;
+        let answer = consumer
+            .join()
+            .map_err(|_| "a consumer failed".to_owned())?;
         if let Err(error) = answer
             && deployment.has_run(&id)
         {
-            broken.push(format!("{id} was passed on and ran, and its answer was cut: {error}"));
+            broken.push(format!(
+                "{id} was passed on and ran, and its answer was cut: {error}"
+            ));
         }
     }
     Ok((record, broken))
@@ -948,7 +1009,12 @@
             let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
             let answer = request(&record, &mut stream, &id, "POST", 2_000);
             let is_promise = answer.is_ok_and(|answer| {
-                let status = answer.start.split(' ').nth(1).unwrap_or_default().to_owned();
+                let status = answer
+                    .start
+                    .split(' ')
+                    .nth(1)
+                    .unwrap_or_default()
+                    .to_owned();
                 ["408", "421", "429", "503"].contains(&status.as_str())
             });
             if !is_promise {
@@ -985,7 +1051,13 @@
     let caller = deployment.gateways[0].caller;
     for number in 0..3 {
         let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
-        request(&record, &mut stream, &format!("before-{number}"), "GET", DEADLINE_MS)?;
+        request(
+            &record,
+            &mut stream,
+            &format!("before-{number}"),
+            "GET",
+            DEADLINE_MS,
+        )?;
     }
     let mut callers = Vec::new();
     let mut send = |id: String| {
@@ -1021,7 +1093,9 @@
             && answer.header("x-server-stamp").is_none()
         {
             let status = answer.start;
-            broken.push(format!("{id}: its backend was at work, and it got {status} in place of the answer"));
+            broken.push(format!(
+                "{id}: its backend was at work, and it got {status} in place of the answer"
+            ));
         }
     }
     Ok((record, broken))
@@ -1067,9 +1141,17 @@
     }
     let mut broken = Vec::new();
     if trouble {
-        let third = *ran_at.get(CRASHES - 1).ok_or("it crashed fewer than three backends")?;
-        let later = ran_at.iter().filter(|at| **at > third + STABLE_WINDOW).count();
-        record.add(format!("{} runs, {later} of them later than allowed", ran_at.len()));
+        let third = *ran_at
+            .get(CRASHES - 1)
+            .ok_or("it crashed fewer than three backends")?;
+        let later = ran_at
+            .iter()
+            .filter(|at| **at > third + STABLE_WINDOW)
+            .count();
+        record.add(format!(
+            "{} runs, {later} of them later than allowed",
+            ran_at.len()
+        ));
         if later > ALLOWED {
             broken.push(format!(
                 "it reached backends {later} times later than {STABLE_WINDOW:?} after the third crash, at most {ALLOWED} are allowed"
@@ -1126,7 +1208,13 @@
         let record = Arc::clone(&record);
         callers.push(thread::spawn(move || {
             let mut stream = TcpStream::connect(caller).map_err(|error| error.to_string())?;
-            request(&record, &mut stream, &format!("poison-later-{number}"), "POST", 2_000)
+            request(
+                &record,
+                &mut stream,
+                &format!("poison-later-{number}"),
+                "POST",
+                2_000,
+            )
         }));
     }
     for caller in callers {
@@ -1138,7 +1226,9 @@
         return Err(format!("it crashed only {before} backends at first"));
     }
     if later > ALLOWED {
-        broken.push(format!("it reached backends {later} times more, at most {ALLOWED} are allowed"));
+        broken.push(format!(
+            "it reached backends {later} times more, at most {ALLOWED} are allowed"
+        ));
     }
     Ok((record, broken))
 }
@@ -1170,7 +1260,11 @@
     for line in &broken {
         let _ = writeln!(text, "broken: {line}");
     }
-    let _ = writeln!(text, "trouble: {trouble}; broken promises: {}", broken.len());
+    let _ = writeln!(
+        text,
+        "trouble: {trouble}; broken promises: {}",
+        broken.len()
+    );
     if let Err(error) = std::fs::write(path, &text) {
         eprintln!("{path}: {error}");
         std::process::exit(2);
