--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -334,8 +334,12 @@
     }
 }
 
-/// Whether all upstreams that were tried since `began_ms` failed or stayed silent.
+/// Whether all upstreams that were tried since `began_ms` failed or stayed silent, and not
+/// because they may only be full.
 fn has_no_contact<P: Platform>(gateway: &Gateway<P>, service: &str, began_ms: u64) -> bool {
+    if gateway.contact.lets_probes_wait(service) {
+        return false;
+    }
     let is_silent = {
         let contact = gateway.contact.decision();
         contact.has_failures() && !contact.has_answered_since(began_ms)
--- a/src/gateway/link_checks.rs
+++ b/src/gateway/link_checks.rs
@@ -28,7 +28,8 @@
 /// silent; at first those that have not failed, and have a kept connection.
 ///
 /// Limited, cold and draining ones are not to be asked for this. If there are no others, a
-/// connection that one of them accepts shows that the links work.
+/// connection that one of them accepts shows that the links work. So it does if it comes from an
+/// upstream whose probes wait for a slot: its silence does not show the opposite.
 pub fn start_probes<P: Platform>(gateway: &Arc<Gateway<P>>, count: usize) {
     let Some(manifest) = gateway.manifest() else {
         return;
@@ -78,7 +79,12 @@
     drawn.truncate(count);
     for (upstream, health_path) in drawn {
         let client = gateway.upstream_clients.get(&upstream.report);
-        tokio::spawn(check_on_new(Arc::clone(gateway), client, health_path));
+        let gateway = Arc::clone(gateway);
+        if gateway.contact.lets_probes_wait(&upstream.report.service) {
+            tokio::spawn(check_connection(gateway, client));
+        } else {
+            tokio::spawn(check_on_new(gateway, client, health_path));
+        }
     }
 }
 
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -164,9 +164,10 @@
         }
         let is_last = remaining.is_empty() || round + 1 == PROBES_PER_ROUND.len();
         let is_silent = || !gateway.contact.decision().has_answered_since(now_ms);
+        let shows_lost_links = may_hand_over && !gateway.contact.lets_probes_wait(service);
         let wait = match is_last {
             false => waits.round,
-            true if may_hand_over && is_silent() => waits.silent_round,
+            true if shows_lost_links && is_silent() => waits.silent_round,
             true => waits.last_round,
         };
         pending.collect(wait).await;
@@ -281,6 +282,7 @@
     };
     gateway.on_upstream_answer(&client.id);
     gateway.on_probe_time(sent_at);
+    note_probe_load(&gateway, &upstream, &reading);
     gateway.on_named_limit(&client, named_limit, sent_at, AnswerKind::Probe);
     gateway.on_notice(&client, notice, sent_at, probe_answer_kind(&reading));
     let is_local = upstream.report.data_centre == gateway.settings().data_centre;
@@ -300,6 +302,19 @@
     })
 }
 
+/// Notes whether the probes of an upstream's service may wait for a slot.
+fn note_probe_load<P: Platform>(gateway: &Gateway<P>, upstream: &Upstream, reading: &Reading) {
+    if !reading.is_healthy {
+        return;
+    }
+    let service = &upstream.report.service;
+    let tells_load = reading.load.is_some();
+    if gateway.contact.on_probe_load(service, tells_load) && gateway.log_budget.take() {
+        let upstream = &upstream.report.id;
+        tracing::info!(%service, %upstream, tells_load, "probes of a service answered with a load, or not any more");
+    }
+}
+
 /// Probes an upstream, and records it if no answer comes within [`SILENCE_MS`].
 async fn probe_noting_silence<P: Platform>(
     gateway: &Gateway<P>,
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -174,22 +174,32 @@
     let id_header = Some(&gateway.platform.headers().request_id);
     let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
     tokio::pin!(exchange);
-    let mut result = if call.route.is_idempotent {
+    let answered = timeout_at(deadline, &mut exchange);
+    let result = if call.route.is_idempotent {
         tokio::select! {
-            result = timeout_at(deadline, &mut exchange) => result,
+            result = answered => result,
             // No answer can come any more; another instance may run the request in time.
-            () = gateway.contact.cut_off() => return None,
+            () = lost_links(gateway) => return None,
         }
     } else {
-        timeout_at(deadline, &mut exchange).await
+        answered.await
     };
     if result.is_err() && gateway.is_stopping() {
         // The upstream is at work, and a retry may find no room before the process ends.
-        result = timeout_at(call.deadline, &mut exchange).await;
+        return timeout_at(call.deadline, &mut exchange).await.ok();
     }
     result.ok()
 }
 
+/// Waits until this instance believes that it reaches no upstream. During a planned stop the
+/// belief ends no request: if it is wrong, the upstream's answer is lost.
+async fn lost_links<P: Platform>(gateway: &Gateway<P>) {
+    gateway.contact.cut_off().await;
+    if gateway.is_stopping() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// When an attempt that began at `sent_at` times out.
 #[must_use]
 pub fn attempt_deadline(call: &Call, expected_ms: f64, sent_at: Instant) -> Instant {
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -2,6 +2,7 @@
 //! links while they are in doubt, and keeps failures of its own links from counting
 //! against upstreams.
 
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -38,6 +39,8 @@
     /// Changes with each answer.
     answered: watch::Sender<()>,
     late_probes: Semaphore,
+    /// Services whose upstreams let probes wait for a slot.
+    queueing_services: Mutex<HashSet<Arc<str>>>,
     /// Whether checks of kept connections have not been answered since the doubt began.
     is_kept_silent: AtomicBool,
 }
@@ -50,6 +53,7 @@
             is_cut_off: watch::Sender::new(false),
             answered: watch::Sender::new(()),
             late_probes: Semaphore::new(MAX_LATE_PROBES),
+            queueing_services: Mutex::default(),
             is_kept_silent: AtomicBool::new(false),
         }
     }
@@ -96,6 +100,33 @@
         has_answered()
     }
 
+    /// Whether the probes of a service's upstreams wait for a slot, so that the silence of one
+    /// may only mean that it is full.
+    #[must_use]
+    pub fn lets_probes_wait(&self, service: &str) -> bool {
+        self.lock_queueing_services().contains(service)
+    }
+
+    /// Records whether an upstream told its load in the answer to a probe, as those do that
+    /// answer probes at once; returns whether that is new for the service.
+    pub fn on_probe_load(&self, service: &Arc<str>, tells_load: bool) -> bool {
+        let mut services = self.lock_queueing_services();
+        if services.contains(service) != tells_load {
+            return false;
+        }
+        if tells_load {
+            services.remove(service)
+        } else {
+            services.insert(Arc::clone(service))
+        }
+    }
+
+    fn lock_queueing_services(&self) -> MutexGuard<'_, HashSet<Arc<str>>> {
+        self.queueing_services
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Permits for probes that wait on for a late answer.
     #[must_use]
     pub fn late_probes(&self) -> &Semaphore {
