--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -4,11 +4,14 @@
 //! its response. If no process listens at its address right after, or a new process
 //! started there at that moment, it ended. New connections that are closed at once
 //! count as an end until the upstream turns out to be the same process as before.
+//!
+//! While no upstream answers this instance, a refused connection says nothing: its links may be
+//! lost, or all upstreams may be down. That is decided once an upstream answers again.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::calls::{Call, to_ms};
 use super::peer_push::{News, push};
@@ -32,10 +35,24 @@
 const RESTART_REPORT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval at which the directory is checked for such a report.
 const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which an end stays undecided while no upstream answers; upstreams that ended are
+/// back within some seconds.
+const UNDECIDED_TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval at which an undecided upstream is checked once one answers again.
+const UNDECIDED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest difference between the failure and the start of the new process of an
 /// upstream that always accepted connections; it includes that of their clocks.
 const MAX_RESTART_DIFFERENCE_MS: u64 = 2_000;
 
+/// Whether it is known that an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Decision {
+    /// It ended, and that is recorded.
+    Recorded,
+    /// No upstream answers this instance, so that nothing can be said.
+    Undecided,
+}
+
 /// A failed exchange whose upstream may have ended.
 struct Failure {
     request: String,
@@ -69,8 +86,9 @@
     };
     let listens = client.check_listens(&gateway.metrics).await;
     log_failure(gateway, &failure, listens);
-    if listens == ListenState::Refused {
-        record_end(gateway, &failure, "connection-refused").await;
+    let is_refused = listens == ListenState::Refused;
+    if is_refused && record_end(gateway, &failure, "connection-refused").await == Decision::Recorded
+    {
         return;
     }
     let Ok(watch) = Arc::clone(&gateway.suspects.end_watches).try_acquire_owned() else {
@@ -78,7 +96,11 @@
     };
     let gateway = Arc::clone(gateway);
     tokio::spawn(async move {
-        watch_upstream(&gateway, &failure).await;
+        if is_refused {
+            decide_later(&gateway, &failure).await;
+        } else {
+            watch_upstream(&gateway, &failure).await;
+        }
         drop(watch);
     });
 }
@@ -133,7 +155,10 @@
         sleep(delay).await;
         match failure.client.check_accepts(&gateway.metrics).await {
             ListenState::Refused => {
-                return record_end(gateway, failure, "connection-refused").await;
+                if record_end(gateway, failure, "connection-refused").await == Decision::Undecided {
+                    decide_later(gateway, failure).await;
+                }
+                return;
             }
             ListenState::Closed => closed += 1,
             ListenState::Accepted => break,
@@ -142,7 +167,9 @@
     }
     let seems_ended = closed == ACCEPT_CHECK_DELAYS.len();
     if seems_ended {
-        record_end(gateway, failure, "connections-closed").await;
+        if record_end(gateway, failure, "connections-closed").await == Decision::Undecided {
+            return decide_later(gateway, failure).await;
+        }
         let until = Instant::now() + SURVIVAL_TIMEOUT;
         while failure.client.check_accepts(&gateway.metrics).await != ListenState::Accepted {
             if Instant::now() >= until {
@@ -153,12 +180,40 @@
     }
     let has_restarted = wait_for_restart(gateway, failure, seems_ended).await;
     match (seems_ended, has_restarted) {
-        (false, true) => record_end(gateway, failure, "new-process").await,
+        (false, true) => {
+            record_end(gateway, failure, "new-process").await;
+        }
         (true, false) => record_survival(gateway, failure),
         (true, true) | (false, false) => {}
     }
 }
 
+/// Decides whether an upstream ended once any upstream answers this instance again: it did if
+/// it still refuses connections then, or a new process at its address has reported by then or
+/// shortly after.
+async fn decide_later<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure) {
+    let until = Instant::now() + UNDECIDED_TIMEOUT;
+    while Instant::now() < until {
+        // A timeout leaves the loop.
+        let _ = timeout_at(until, gateway.contact.in_contact()).await;
+        match failure.client.check_listens(&gateway.metrics).await {
+            ListenState::Accepted => {
+                if wait_for_restart(gateway, failure, true).await {
+                    record_end(gateway, failure, "new-process").await;
+                }
+                return;
+            }
+            ListenState::Refused => {
+                if record_end(gateway, failure, "connection-refused").await == Decision::Recorded {
+                    return;
+                }
+            }
+            ListenState::Closed | ListenState::Unknown => {}
+        }
+        sleep(UNDECIDED_CHECK_INTERVAL).await;
+    }
+}
+
 /// Waits for the report of a new process. Unless the upstream was away meanwhile, the
 /// process must have started when the exchange failed.
 async fn wait_for_restart<P: Platform>(
@@ -222,13 +277,13 @@
     false
 }
 
-/// Records an end and tells the other instances, unless this instance has lost its links:
+/// Records an end and tells the other instances, unless this instance may have lost its links:
 /// then connections are refused whether the upstream has ended or not.
 async fn record_end<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     failure: &Failure,
     shown_by: &'static str,
-) {
+) -> Decision {
     let lifetime = failure.client.lifetime();
     let has_report = shown_by == "new-process";
     if !has_report && gateway.lost_links_since(failure.failed).await {
@@ -236,9 +291,9 @@
             request = failure.request,
             upstream = %lifetime.upstream,
             shown_by,
-            "not taken as the end of an upstream: no upstream answers this instance"
+            "not taken as the end of an upstream yet: no upstream answers this instance"
         );
-        return;
+        return Decision::Undecided;
     }
     let now_ms = gateway.now_ms();
     let evidence = Evidence::Unreachable;
@@ -265,6 +320,7 @@
         gateway.on_suspects_changed();
         push(gateway, &News::Suspect(fingerprint.content));
     }
+    Decision::Recorded
 }
 
 fn log_failure<P: Platform>(gateway: &Gateway<P>, failure: &Failure, listens: ListenState) {
--- a/src/gateway/upstream_contact.rs
+++ b/src/gateway/upstream_contact.rs
@@ -78,6 +78,13 @@
         let _ = is_cut_off.wait_for(|is_cut_off| *is_cut_off).await;
     }
 
+    /// Waits until this instance no longer believes that it reaches no upstream.
+    pub async fn in_contact(&self) {
+        let mut is_cut_off = self.is_cut_off.subscribe();
+        // The sender lives as long as the process.
+        let _ = is_cut_off.wait_for(|is_cut_off| !*is_cut_off).await;
+    }
+
     /// Whether an upstream has answered at `since_ms` or later; checks the links for at
     /// most `limit` if not, unless this instance knows that it is cut off.
     pub async fn has_answer_since(&self, since_ms: u64, limit: Duration) -> bool {
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -13,7 +13,7 @@
 use futures::future::join_all;
 use googletest::prelude::*;
 use http::{HeaderName, HeaderValue};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::call_forwarding::gateway_to;
 use super::fake::{FakeStore, Mode, TestInstance, call, own_address, route, settings, within};
@@ -24,6 +24,14 @@
 const ENDS_TO_KNOW: usize = 3;
 /// Pause after which the caller sends its request again.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
+/// The same as the users play it for a small service, and for how long.
+const SLOW_RESEND_PAUSE: Duration = Duration::from_millis(700);
+const RESENT_FOR: Duration = Duration::from_secs(14);
+/// Time after the third end from which on at most [`LATE_RUNS_ALLOWED`] more are allowed.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+const LATE_RUNS_ALLOWED: usize = 3;
+/// Time from the start of an upstream to its report.
+const REPORT_DELAY: Duration = Duration::from_secs(1);
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
 const POISON_BODY: &str = "poison";
 
@@ -401,3 +409,77 @@
 
     expect_that!(fleet.ends(), le(ENDS_TO_KNOW));
 }
+
+/// A service with this many upstreams whose request ends each of them.
+#[derive(Clone, Copy, Debug)]
+struct SmallService {
+    upstreams: usize,
+    is_idempotent: bool,
+    report_delay: Duration,
+}
+
+impl SmallService {
+    /// Sends the request for a while, each time some time after the last answer. Returns the
+    /// moments of the ends, and the last statuses.
+    async fn play(self) -> (Vec<Duration>, Vec<u16>) {
+        let store = FakeStore::new();
+        let mut upstreams = Vec::new();
+        for number in 0..self.upstreams {
+            let id = format!("up-{number}");
+            let upstream =
+                FragileUpstream::start_reporting_late(&store, &id, self.report_delay).await;
+            upstreams.push(upstream);
+        }
+        let fleet = Fleet::start_with(store, 3, upstreams).await;
+        let route = Route {
+            is_idempotent: self.is_idempotent,
+            timeout_ms: 1_000,
+            ..route()
+        };
+        let began = Instant::now();
+        let mut ended_at = Vec::new();
+        let mut statuses = Vec::new();
+        while began.elapsed() < RESENT_FOR {
+            let status = fleet.send(statuses.len(), &call(&route, POISON_BODY)).await;
+            statuses.push(status);
+            sleep(SLOW_RESEND_PAUSE).await;
+            ended_at.resize(fleet.ends(), began.elapsed());
+        }
+        let last = statuses.split_off(statuses.len() - 3);
+        (ended_at, last)
+    }
+}
+
+// Guards against a request that is never stopped where it ends all upstreams of a service, so
+// that none answers and the links seem lost, or ends one again before its report.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_ends_all_upstreams_of_a_small_service_is_stopped() {
+    let mut services = Vec::new();
+    for upstreams in 1..=3 {
+        for is_idempotent in [false, true] {
+            for report_delay in [Duration::ZERO, REPORT_DELAY] {
+                services.push(SmallService {
+                    upstreams,
+                    is_idempotent,
+                    report_delay,
+                });
+            }
+        }
+    }
+
+    let played = join_all(services.iter().map(|service| service.play())).await;
+
+    for (service, (ended_at, last)) in services.iter().zip(played) {
+        let third = ended_at.get(ENDS_TO_KNOW - 1).copied();
+        let late = ended_at
+            .iter()
+            .filter(|at| third.is_some_and(|third| **at > third + STABLE_WINDOW));
+        expect_that!(
+            late.count(),
+            le(LATE_RUNS_ALLOWED),
+            "{service:?}: {ended_at:?}"
+        );
+        expect_that!(last, each(eq(&503)), "{service:?}: {ended_at:?}");
+    }
+}
--- a/tests/gateway/cut_off.rs
+++ b/tests/gateway/cut_off.rs
@@ -335,6 +335,30 @@
     }
 }
 
+// Guards against a harmless request that is suspected of ending upstreams because its
+// instance lost its links, also once they are back.
+#[gtest]
+#[tokio::test]
+async fn a_request_in_flight_when_the_links_are_reset_is_not_suspected() {
+    let fleet = Fleet::start(1, 2).await;
+    fleet.set_behaviour(Behaviour::Serve(OBJECTIVE));
+    let runs = fleet.runs();
+    let gateway = Arc::clone(fleet.gateway(0));
+    let request = call(&non_idempotent_route(), "body");
+    let sent = tokio::spawn(async move { forward(&gateway, &request).await });
+    within(OBJECTIVE, "it runs", || fleet.runs() > runs).await;
+
+    fleet.links[0].set(LinkState::Resetting);
+    let outcome = sent.await.unwrap();
+    sleep(LONG_CUT).await;
+    fleet.links[0].set(LinkState::Up);
+    sleep(LONG_CUT).await;
+
+    expect_that!(outcome.status().as_u16(), any![eq(502), eq(504)]);
+    let suspects = fleet.gateway(0).suspects.table();
+    expect_that!(suspects.is_empty(), eq(true));
+}
+
 // Guards against upstreams that fail being taken for lost links.
 #[gtest]
 #[tokio::test]
--- a/tests/gateway/fragile.rs
+++ b/tests/gateway/fragile.rs
@@ -30,6 +30,8 @@
     pub address: SocketAddr,
     store: Arc<FakeStore>,
     is_behind_proxy: bool,
+    /// Time after a start until it is reported, as by a heartbeat.
+    report_delay: Duration,
     started_at_ms: AtomicUsize,
     running: AtomicUsize,
     ends: AtomicUsize,
@@ -38,21 +40,36 @@
 
 impl FragileUpstream {
     pub async fn start(store: &Arc<FakeStore>, id: &str) -> Arc<Self> {
-        Self::start_with(store, id, false).await
+        Self::start_with(store, id, false, Duration::ZERO).await
+    }
+
+    /// Starts one whose new processes serve for a while before their reports come.
+    pub async fn start_reporting_late(
+        store: &Arc<FakeStore>,
+        id: &str,
+        report_delay: Duration,
+    ) -> Arc<Self> {
+        Self::start_with(store, id, false, report_delay).await
     }
 
     /// Starts one whose address accepts connections while it is down, and closes them.
     pub async fn start_behind_proxy(store: &Arc<FakeStore>, id: &str) -> Arc<Self> {
-        Self::start_with(store, id, true).await
+        Self::start_with(store, id, true, Duration::ZERO).await
     }
 
-    async fn start_with(store: &Arc<FakeStore>, id: &str, is_behind_proxy: bool) -> Arc<Self> {
+    async fn start_with(
+        store: &Arc<FakeStore>,
+        id: &str,
+        is_behind_proxy: bool,
+        report_delay: Duration,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let upstream = Arc::new(Self {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             store: Arc::clone(store),
             is_behind_proxy,
+            report_delay,
             started_at_ms: AtomicUsize::new(unix_ms()),
             running: AtomicUsize::new(0),
             ends: AtomicUsize::new(0),
@@ -110,7 +127,11 @@
             let _ = self.crash.notified().now_or_never();
             self.running.store(0, Ordering::Relaxed);
             self.started_at_ms.store(unix_ms(), Ordering::Relaxed);
-            self.publish();
+            let reporting = Arc::clone(&self);
+            tokio::spawn(async move {
+                sleep(reporting.report_delay).await;
+                reporting.publish();
+            });
         }
     }
 
