A suspect request waits for the report of an upstream that it ended

Callers saw: with one upstream that comes back under its name, more than three runs of a request that ends it, as several ends counted as one.

Change: a suspect request is not sent to an upstream whose last report is of a process that ended under it. Others are not affected: the list is made only while a suspect is known.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -140,7 +140,9 @@
             return AttemptEnd::Final(history.correct_refusal(denied(gateway, call, denial)));
         }
     };
-    let choice = choose_upstream(gateway, call, service, &history.tried, may_hand_over);
+    let mut excluded = run_permit::ended_upstreams(gateway, call);
+    excluded.extend_from_slice(&history.tried);
+    let choice = choose_upstream(gateway, call, service, &excluded, may_hand_over);
     let choice = tokio::select! {
         biased;
         choice = choice => choice,
@@ -251,7 +253,7 @@
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    tried: &[Arc<str>],
+    excluded: &[Arc<str>],
     may_hand_over: bool,
 ) -> Result<Chosen<P>, AttemptEnd> {
     let began_ms = gateway.now_ms();
@@ -263,11 +265,12 @@
         if let Some(refusal) = unwanted::refuse(gateway, call, service) {
             return Err(AttemptEnd::Refused(refusal));
         }
-        if let Some(chosen) = limited_choice::choose(gateway, call, service, tried, false).await {
+        if let Some(chosen) = limited_choice::choose(gateway, call, service, excluded, false).await
+        {
             return Ok(chosen);
         }
         let (mut probed, candidates) =
-            probe_candidates(gateway, call, service, tried, may_hand_over).await;
+            probe_candidates(gateway, call, service, excluded, may_hand_over).await;
         if may_hand_over && probed.is_empty() && has_no_contact(gateway, service, began_ms) {
             return Err(AttemptEnd::NoContact);
         }
@@ -285,7 +288,8 @@
             pending.decide(load.as_ref())
         };
         if admission != Admission::Send
-            && let Some(chosen) = limited_choice::choose(gateway, call, service, tried, true).await
+            && let Some(chosen) =
+                limited_choice::choose(gateway, call, service, excluded, true).await
         {
             if let Some(best) = best {
                 best.client.release(best.connection);
@@ -293,7 +297,7 @@
             return Ok(chosen);
         }
         if candidates == 0
-            && let Some(refusal) = limited_choice::refuse(gateway, call, service, tried)
+            && let Some(refusal) = limited_choice::refuse(gateway, call, service, excluded)
         {
             return Err(AttemptEnd::Refused(refusal));
         }
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -127,6 +127,16 @@
     }
 }
 
+/// Upstreams that a request must not be sent to until they report again, as processes that they
+/// reported have ended under it.
+pub fn ended_upstreams<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Vec<Arc<str>> {
+    if gateway.suspects.table().is_empty() {
+        return Vec::new();
+    }
+    let fingerprint = call.fingerprint(gateway.platform.headers());
+    gateway.ended_upstreams(fingerprint.content)
+}
+
 fn permit<P: Platform>(gateway: &Arc<Gateway<P>>, held: Option<Held>) -> RunPermit<P> {
     RunPermit {
         gateway: Arc::clone(gateway),
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -51,6 +51,29 @@
         self.suspects.table().report(content, self.now_ms())
     }
 
+    /// Upstreams whose last report is of a process that has ended under requests with this
+    /// content. Whatever listens there now has not reported yet, so that its end could not be
+    /// told from that one.
+    #[must_use]
+    pub fn ended_upstreams(&self, content: u64) -> Vec<Arc<str>> {
+        let Some(report) = self.suspect_report(content) else {
+            return Vec::new();
+        };
+        let view = self.view();
+        let mut ended = Vec::new();
+        for end in report.ends {
+            let lifetime = end.lifetime;
+            let known = view.directory.get(&lifetime.upstream);
+            let is_last_report =
+                known.is_some_and(|known| known.report.started_at_ms == lifetime.started_at_ms);
+            let is_start_known = lifetime.started_at_ms > 0;
+            if is_last_report && is_start_known && !end.is_refuted {
+                ended.push(lifetime.upstream);
+            }
+        }
+        ended
+    }
+
     /// Adds what another instance or the store knows of suspect requests; `source`
     /// names it in the log.
     pub fn merge_suspects(&self, reports: &[SuspectReport], source: &str) {
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -483,3 +483,19 @@
         expect_that!(last, each(eq(&503)), "{service:?}: {ended_at:?}");
     }
 }
+
+// Guards against several ends that count as one, because the upstream ends again before its new
+// process has reported.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_ends_again_before_its_report_gets_no_more_than_three_runs() {
+    let service = SmallService {
+        upstreams: 1,
+        is_idempotent: false,
+        report_delay: 3 * REPORT_DELAY,
+    };
+
+    let (ended_at, _) = service.play().await;
+
+    expect_that!(ended_at.len(), le(ENDS_TO_KNOW), "{ended_at:?}");
+}
