Answers between instances count against the memory for responses

Report: bytes without end fill an instance's memory. Shown not to happen, also at an instance that runs others' requests: endless heads, chunks, bodies, interim responses and trailers, and a byte each 20 ms.

Cause of what does happen: an answer that was read for another instance was copied for the call without its reservation, and the decoded answer at the caller's instance was not counted either. At a slow link they pile up, 7 MiB each, without a bound.

Change: HandedEnd holds the body as it was read, with its reservation, until it is encoded; the caller's instance reserves it again. One that finds no room is given up with a line, 502. The wire is unchanged (golden bytes).

Evidence: two of three tests in handed_responses failed before: 0 bytes were reserved while 3 MiB were held at either instance. The third, without end, held.

Conclusion: one encoded answer a connection stays outside the count.

--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -94,7 +94,9 @@
             }
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
-                let end = ended(call, history, all, end.into_outcome());
+                let outcome = end.into_outcome(&gateway.response_memory);
+                let outcome = outcome.unwrap_or_else(|| give_up_response(call, &known));
+                let end = ended(call, history, all, outcome);
                 if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
                     return end;
                 }
@@ -151,6 +153,13 @@
     Outcome::refused(Reason::NoUpstream, retry_after_ms.max(1))
 }
 
+/// Gives up a response for which the other responses leave no memory; the request has run.
+fn give_up_response(call: &Call, known: &KnownOffer) -> Outcome {
+    let request = call.id_text();
+    tracing::info!(request, from = %known.address, "response of another instance given up: other responses hold the memory that the body needs");
+    Outcome::gateway_error(Reason::UpstreamFailed)
+}
+
 /// Takes over what the receiver did, and decides whether the request may be tried again.
 fn ended(
     call: &Call,
--- a/src/gateway/handed.rs
+++ b/src/gateway/handed.rs
@@ -11,6 +11,7 @@
 use super::calls::to_ms;
 use super::outcome::{Outcome, Reason, RunResponse};
 use crate::connection::exchange::HttpResponse;
+use crate::connection::response_memory::{ResponseMemory, ResponseReservation};
 
 /// Largest request or response that is handed over, in bytes: tarpc's limit on frames is
 /// 8 MiB, and headers and names come on top.
@@ -88,9 +89,9 @@
         status: u16,
         /// Its headers.
         headers: Vec<(String, Vec<u8>)>,
-        /// The whole body.
-        #[serde(with = "serde_bytes")]
-        body: Vec<u8>,
+        /// The whole body. It holds its memory until it is encoded.
+        #[serde(with = "body_bytes")]
+        body: Bytes,
     },
     /// The receiver's own reason.
     Error {
@@ -149,7 +150,7 @@
             Outcome::Answered(response) => Self::Response {
                 status: response.status.as_u16(),
                 headers: encode_headers(&response.headers),
-                body: response.body.to_vec(),
+                body: response.body.clone(),
             },
             Outcome::GatewayError {
                 reason,
@@ -163,8 +164,10 @@
 
     /// Decodes the outcome; an invalid one may have run, and so may one whose status says that
     /// it has not: earlier builds pass such responses on.
+    ///
+    /// The body counts in `memory`; `None` if it finds no room there.
     #[must_use]
-    pub fn into_outcome(self) -> Outcome {
+    pub fn into_outcome(self, memory: &Arc<ResponseMemory>) -> Option<Outcome> {
         match self {
             Self::Response {
                 status,
@@ -172,29 +175,49 @@
                 body,
             } => {
                 let Ok(status) = StatusCode::from_u16(status) else {
-                    return Outcome::gateway_error(Reason::UpstreamFailed);
+                    return Some(Outcome::gateway_error(Reason::UpstreamFailed));
                 };
+                let mut reservation = ResponseReservation::new(memory);
+                if !reservation.grow_to(body.len()) {
+                    return None;
+                }
                 let response = RunResponse::new(HttpResponse {
                     status,
                     headers: decode_headers(&headers),
-                    body: Bytes::from(body),
+                    body: reservation.attach_to(body),
                 });
-                response.map_or_else(
+                Some(response.map_or_else(
                     |_| Outcome::gateway_error(Reason::UpstreamFailed),
                     Outcome::Answered,
-                )
+                ))
             }
             Self::Error {
                 reason,
                 retry_after_ms,
-            } => Outcome::GatewayError {
+            } => Some(Outcome::GatewayError {
                 reason,
                 retry_after: retry_after_ms.map(Duration::from_millis),
-            },
+            }),
         }
     }
 }
 
+/// Encodes a body as `serde_bytes` does a `Vec<u8>`, without a copy.
+mod body_bytes {
+    use bytes::Bytes;
+    use serde::{Deserializer, Serializer};
+    use serde_bytes::ByteBuf;
+
+    pub fn serialize<S: Serializer>(body: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+        serde_bytes::serialize(body.as_ref(), serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+        let body: ByteBuf = serde_bytes::deserialize(deserializer)?;
+        Ok(Bytes::from(body.into_vec()))
+    }
+}
+
 /// Encodes headers in their order.
 #[must_use]
 pub fn encode_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
--- a/tests/gateway/failed_runs.rs
+++ b/tests/gateway/failed_runs.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use chicorywing::connection::response_memory::ResponseMemory;
 use chicorywing::decision::directory::UpstreamState;
 use chicorywing::decision::manifest::Route;
 use chicorywing::gateway::forward::forward;
@@ -142,10 +144,10 @@
         let end = HandedEnd::Response {
             status,
             headers: vec![("t-stamp".to_owned(), b"up-1".to_vec())],
-            body: b"bad".to_vec(),
+            body: Bytes::from_static(b"bad"),
         };
 
-        let outcome = end.into_outcome();
+        let outcome = end.into_outcome(&ResponseMemory::new(1_000)).unwrap();
 
         expect_that!(outcome.status(), eq(StatusCode::BAD_GATEWAY), "{status}");
     }
--- a/tests/gateway/hop_faults.rs
+++ b/tests/gateway/hop_faults.rs
@@ -47,16 +47,16 @@
 const MAX_TAKEN: usize = 256;
 
 /// The first instance is cut off and hands its requests to the others, each behind a proxy.
-struct Fleet {
+pub struct Fleet {
     store: Arc<FakeStore>,
-    instances: Vec<TestInstance>,
+    pub instances: Vec<TestInstance>,
     settings: Vec<Settings>,
     hops: Vec<Arc<Hop>>,
-    upstreams: Vec<FakeUpstream>,
+    pub upstreams: Vec<FakeUpstream>,
 }
 
 impl Fleet {
-    async fn start(receivers: usize) -> Self {
+    pub async fn start(receivers: usize) -> Self {
         let store = FakeStore::new();
         let links = Links::new();
         let mut upstreams = Vec::new();
@@ -121,13 +121,13 @@
     }
 
     /// Sends a request at the instance that is cut off.
-    fn send(&self, route: &Route) -> JoinHandle<Outcome> {
+    pub fn send(&self, route: &Route) -> JoinHandle<Outcome> {
         let gateway = Arc::clone(&self.instances[0].gateway);
         let request = call(route, "body");
         tokio::spawn(async move { forward(&gateway, &request).await })
     }
 
-    fn set_hops(&self, fault: HopFault) {
+    pub fn set_hops(&self, fault: HopFault) {
         for hop in &self.hops {
             hop.set(fault);
         }
@@ -139,13 +139,13 @@
         }
     }
 
-    fn set_behaviour(&self, behaviour: Behaviour) {
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
         for upstream in &self.upstreams {
             upstream.set_behaviour(behaviour);
         }
     }
 
-    fn runs(&self) -> usize {
+    pub fn runs(&self) -> usize {
         self.upstreams.iter().map(|one| one.runs().len()).sum()
     }
 
@@ -153,7 +153,7 @@
         self.upstreams.iter().map(FakeUpstream::disconnects).sum()
     }
 
-    async fn until_runs(&self, count: usize) {
+    pub async fn until_runs(&self, count: usize) {
         within(SETTLE_TIMEOUT, "it runs", || self.runs() >= count).await;
     }
 
@@ -163,7 +163,7 @@
     }
 }
 
-fn once_route() -> Route {
+pub fn once_route() -> Route {
     Route {
         is_idempotent: false,
         timeout_ms: TIMEOUT_MS,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod follower;
 mod fragile;
 mod full_upstreams;
+mod handed_responses;
 mod hop;
 mod hop_faults;
 mod limited;
--- a/tests/gateway/upstream.rs
+++ b/tests/gateway/upstream.rs
@@ -9,6 +9,9 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+/// Pause between the bytes of [`Behaviour::EndlessTrickle`].
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
 /// How the upstream treats requests other than probes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -44,6 +47,8 @@
     EndlessInterimResponses,
     /// Sends a body and then trailers without end.
     EndlessTrailers,
+    /// Sends a head and then a byte of a body each 20 ms without end.
+    EndlessTrickle,
 }
 
 #[derive(Debug)]
@@ -165,11 +170,19 @@
         self.state.lock().unwrap().peak_bytes_held
     }
 
-    /// Repeats `part` after `start` until the other side closes the connection.
-    async fn send_without_end(&self, stream: &mut TcpStream, start: &str, part: &[u8]) {
+    /// Repeats `part` after `start`, each time after `pause`, until the other side closes the
+    /// connection.
+    async fn send_without_end(
+        &self,
+        stream: &mut TcpStream,
+        start: &str,
+        part: &[u8],
+        pause: Duration,
+    ) {
         let mut held = 0;
         let mut is_open = stream.write_all(start.as_bytes()).await.is_ok();
         while is_open {
+            sleep(pause).await;
             is_open = stream.write_all(part).await.is_ok();
             held += part.len();
             let mut state = self.state.lock().unwrap();
@@ -247,10 +260,17 @@
                 let start = format!("{ok}transfer-encoding: chunked\r\n\r\n0\r\n");
                 Some((start, "a: b\r\n".repeat(1_000)))
             }
+            Behaviour::EndlessTrickle => Some((format!("{ok}\r\n"), "x".to_owned())),
             _ => None,
         };
         if let Some((start, part)) = endless {
-            self.send_without_end(stream, &start, part.as_bytes()).await;
+            let pause = if behaviour == Behaviour::EndlessTrickle {
+                TRICKLE_PAUSE
+            } else {
+                Duration::ZERO
+            };
+            let part = part.as_bytes();
+            self.send_without_end(stream, &start, part, pause).await;
             return false;
         }
         let text = match behaviour {
@@ -258,7 +278,8 @@
             | Behaviour::EndlessUnframedBody
             | Behaviour::EndlessHead
             | Behaviour::EndlessInterimResponses
-            | Behaviour::EndlessTrailers => return false,
+            | Behaviour::EndlessTrailers
+            | Behaviour::EndlessTrickle => return false,
             Behaviour::Serve(time) => {
                 if self.is_disconnected_within(stream, time).await {
                     return false;
@@ -267,7 +288,7 @@
             }
             Behaviour::ServeBytes(count) => good
                 .replace("length: 4", &format!("length: {count}"))
-                .replace("good", &"x".repeat(count)),
+                .replace("good", &format!("good{}", "x".repeat(count - "good".len()))),
             Behaviour::Fail => format!(
                 "HTTP/1.1 500 Broken\r\n{id}t-stamp: {}\r\ncontent-length: 3\r\n\r\nbad",
                 self.id
--- a/tests/peer_format/samples.rs
+++ b/tests/peer_format/samples.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use chicorywing::decision::crash_suspects::{
     End, Fingerprint, Scope, SuspectReport, UpstreamLifetime,
 };
@@ -331,7 +332,7 @@
             handed_answer(HandedEnd::Response {
                 status: 200,
                 headers: vec![("x-b".to_owned(), vec![66])],
-                body: vec![255, 0],
+                body: Bytes::from_static(&[255, 0]),
             }),
         ),
         (
