A keep-alive time beyond the clock no longer panics

Callers saw: their connection ended without an answer, after the request had run, when an upstream announced keep-alive: timeout=.

Cause: Instant::now() plus that time overflows, which panics in the task of the connection.

Change: an idle connection is reused for an hour at most.

Evidence: a test with five announced times panicked before and holds now.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -46,6 +46,8 @@
 /// Time after which an idle connection is not reused if the server sends no
 /// `keep-alive: timeout`.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is reused, whatever the server announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
 /// Margin by which reuse ends before the server's announced idle timeout.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -312,7 +314,7 @@
         .and_then(|seconds| seconds.trim().parse().ok())
         .map(Duration::from_secs);
     announced.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
-        time.saturating_sub(IDLE_MARGIN)
+        time.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
     })
 }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -372,3 +372,32 @@
     expect_that!(response.status.as_u16(), eq(200));
     expect_that!(connection.is_usable(), eq(true));
 }
+
+// Guards against an idle timeout beyond what a clock can hold, which ended the caller's
+// connection without an answer.
+#[gtest]
+#[tokio::test]
+async fn a_connection_survives_any_announced_idle_timeout() {
+    for (timeout, is_usable) in [
+        ("18446744073709551615", true),
+        ("18446744073709551616", true),
+        ("9223372036854775807", true),
+        ("-1", true),
+        ("0", false),
+    ] {
+        let response: &'static str = Box::leak(
+            format!(
+                "HTTP/1.1 200 OK\r\nx-id: 1\r\nkeep-alive: timeout={timeout}\r\n\
+                 content-length: 4\r\n\r\ngood"
+            )
+            .into_boxed_str(),
+        );
+        let (address, _) = server(vec![ServerAction::Write(response)]).await;
+        let mut connection = open(address).await;
+
+        let answer = get(&mut connection, "1").await.unwrap();
+
+        expect_that!(&answer.body[..], eq(b"good"), "{timeout}");
+        expect_that!(connection.is_usable(), eq(is_usable), "{timeout}");
+    }
+}
