--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -18,24 +18,31 @@
 /// Interval at which it is looked for.
 const FIRST_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Tracks when a connection last served a request or took a part of a response.
+/// Tracks when a connection last served a request or took a part of a response, and whether a
+/// response is still to be written.
 #[derive(Debug)]
 pub struct ConnectionActivity {
     opened: Instant,
     last_used_ms: AtomicU64,
     requests: AtomicUsize,
     has_begun: AtomicBool,
+    is_unwritten: AtomicBool,
+    /// Connections of the process with a response that is still to be written.
+    unwritten: Arc<AtomicUsize>,
 }
 
 impl ConnectionActivity {
-    /// The activity of a connection that is opened now.
+    /// The activity of a connection that is opened now; it counts in `unwritten` while a
+    /// response is still to be written.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(unwritten: &Arc<AtomicUsize>) -> Self {
         Self {
             opened: Instant::now(),
             last_used_ms: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
             has_begun: AtomicBool::new(false),
+            is_unwritten: AtomicBool::new(false),
+            unwritten: Arc::clone(unwritten),
         }
     }
 
@@ -48,9 +55,19 @@
     /// Records the end of a request, whose response is still to be written.
     pub fn end_request(&self) {
         self.requests.fetch_sub(1, Ordering::Relaxed);
+        if !self.is_unwritten.swap(true, Ordering::Relaxed) {
+            self.unwritten.fetch_add(1, Ordering::Relaxed);
+        }
         self.touch();
     }
 
+    /// Records that the kernel has taken all responses so far.
+    fn end_writing(&self) {
+        if self.is_unwritten.swap(false, Ordering::Relaxed) {
+            self.unwritten.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
     /// Records that something happened now.
     pub fn touch(&self) {
         let last_used_ms = to_ms(self.opened.elapsed());
@@ -76,9 +93,9 @@
     }
 }
 
-impl Default for ConnectionActivity {
-    fn default() -> Self {
-        Self::new()
+impl Drop for ConnectionActivity {
+    fn drop(&mut self) {
+        self.end_writing();
     }
 }
 
@@ -138,7 +155,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        // hyper flushes the stream once its own buffer is empty.
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.activity.end_writing();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -224,7 +224,8 @@
 }
 
 /// Fails the readiness check, serves until the balancer has noticed, then closes
-/// the listener and waits for the requests in flight, at most until the stop limit.
+/// the listener and waits for the requests in flight and until their responses are written, at
+/// most until the stop limit.
 pub async fn drain_and_stop<P: Platform>(
     gateway: &Gateway<P>,
     callers: &CallerCounts,
@@ -247,12 +248,17 @@
         }
         while callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME {
             sleep(DRAIN_POLL_INTERVAL).await;
-            if callers.in_flight() > 0 {
+            if callers.in_flight() > 0 || callers.unwritten() > 0 {
                 idle_since = Instant::now();
             }
         }
         sleep(FLUSH_TIME).await;
     };
     let is_finished = timeout_at(end_at, finish).await.is_ok();
-    tracing::info!(is_finished, in_flight = callers.in_flight(), "stopped");
+    tracing::info!(
+        is_finished,
+        in_flight = callers.in_flight(),
+        unwritten = callers.unwritten(),
+        "stopped"
+    );
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -57,6 +57,7 @@
 pub struct CallerCounts {
     requests: AtomicUsize,
     connections: AtomicUsize,
+    unwritten: Arc<AtomicUsize>,
 }
 
 impl CallerCounts {
@@ -66,6 +67,12 @@
         self.requests.load(Ordering::Relaxed)
     }
 
+    /// Connections with a response that is still to be written.
+    #[must_use]
+    pub fn unwritten(&self) -> usize {
+        self.unwritten.load(Ordering::Relaxed)
+    }
+
     /// Open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
@@ -192,7 +199,7 @@
     mut close: watch::Receiver<bool>,
 ) {
     let _guard = ConnectionGuard::new(Arc::clone(&callers));
-    let activity = Arc::new(ConnectionActivity::new());
+    let activity = Arc::new(ConnectionActivity::new(&callers.unwritten));
     let stream = CallerStream::new(stream, Arc::clone(&activity));
     let max_head_bytes = gateway
         .manifest()
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -3,19 +3,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use chicorywing::decision::directory::UpstreamState;
 use chicorywing::decision::manifest::Route;
 use chicorywing::gateway::run::drain_and_stop;
 use chicorywing::gateway::server::{CallerCounts, serve_callers};
+use chicorywing::gateway::state::Gateway;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::fake::{FakeStore, gateway, manifest, report, route};
+use super::fake::{FakePlatform, FakeStore, gateway, manifest, report, route, within};
 use super::upstream::{Behaviour, FakeUpstream};
 
 /// Moments after the stop signal at which requests end, up to the stop limit of 6 s.
@@ -29,6 +32,14 @@
 /// Latency objective of the routes, in which the upstreams answer.
 const OBJECTIVE_MS: u64 = 2_000;
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time from the moment at which all callers are prepared to the stop.
+const PREPARED_BEFORE: Duration = Duration::from_millis(500);
+/// Body of an answer that the buffers of the kernel do not hold.
+const LARGE_BYTES: usize = 8 * 1024 * 1024;
+/// Receive buffer of a caller that reads slowly, in bytes.
+const SMALL_BUFFER_BYTES: u32 = 4_096;
+/// Time after which such a caller begins to read, within the stop limit of 6 s.
+const READING_DELAY: Duration = Duration::from_millis(4_500);
 
 /// How a request is on its way when the stop begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
@@ -47,6 +58,8 @@
     at: Duration,
     /// Names its kind, whether it may be repeated, and its moment.
     id: String,
+    /// The response to an earlier request on the same connection, if there was one.
+    before: String,
     response: String,
 }
 
@@ -95,12 +108,40 @@
     length.is_some_and(|length| body.len() >= length.parse().unwrap())
 }
 
+/// When the stop begins: once each caller is prepared, as a response that comes after that
+/// announces that its connection closes.
+#[derive(Debug, Default)]
+struct Start {
+    prepared: AtomicUsize,
+    begins: watch::Sender<Option<Instant>>,
+}
+
+impl Start {
+    /// Says that a caller is prepared, and waits until all are.
+    async fn begins(&self) -> Instant {
+        self.prepared.fetch_add(1, Ordering::Relaxed);
+        let mut begins = self.begins.subscribe();
+        begins.wait_for(Option::is_some).await.unwrap().unwrap()
+    }
+
+    /// Waits until all callers are prepared, and sets when the stop begins.
+    async fn set(&self, callers: usize) -> Instant {
+        within(RESPONSE_TIMEOUT, "all callers are prepared", || {
+            self.prepared.load(Ordering::Relaxed) == callers
+        })
+        .await;
+        let begins = Instant::now() + PREPARED_BEFORE;
+        self.begins.send_replace(Some(begins));
+        begins
+    }
+}
+
 async fn send(
     address: SocketAddr,
     kind: Kind,
     is_idempotent: bool,
     at: Duration,
-    begins: Instant,
+    start: Arc<Start>,
 ) -> Sent {
     let host = if is_idempotent {
         "h.example"
@@ -113,6 +154,7 @@
         kind,
         at,
         id,
+        before: String::new(),
         response: String::new(),
     };
     let mut early = None;
@@ -121,11 +163,12 @@
         if kind == Kind::Kept {
             let (_, whole) = parts(kind, host, &format!("before-{}", sent.id));
             stream.write_all(whole.as_bytes()).await.unwrap();
-            read_response(&mut stream).await;
+            sent.before = read_response(&mut stream).await;
         }
         stream.write_all(first.as_bytes()).await.unwrap();
         early = Some(stream);
     }
+    let begins = start.begins().await;
     sleep_until(begins + at).await;
     let stream = match early {
         Some(stream) => Ok(stream),
@@ -140,6 +183,67 @@
     sent
 }
 
+/// A gateway on a runtime of its own, with which all its connections end.
+struct StoppingProcess {
+    address: SocketAddr,
+    gateway: Arc<Gateway<FakePlatform>>,
+    callers: Arc<CallerCounts>,
+    close: watch::Sender<bool>,
+    runtime: Runtime,
+}
+
+impl StoppingProcess {
+    async fn start(upstreams: &[&FakeUpstream], routes: &[Route]) -> Self {
+        let gateway = gateway(&FakeStore::new());
+        {
+            let mut view = gateway.view();
+            view.manifest = Some(Arc::new(manifest(1, routes)));
+            for upstream in upstreams {
+                let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
+                view.directory.put(report, 0);
+            }
+        }
+        gateway.set_instances_loaded();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let callers = Arc::new(CallerCounts::default());
+        let (close, closing) = watch::channel(false);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let listener = listener.into_std().unwrap();
+        let (serving, counts) = (Arc::clone(&gateway), Arc::clone(&callers));
+        runtime.spawn(async move {
+            let listener = TcpListener::from_std(listener).unwrap();
+            serve_callers(listener, serving, counts, closing).await;
+        });
+        Self {
+            address,
+            gateway,
+            callers,
+            close,
+            runtime,
+        }
+    }
+
+    /// Stops the gateway as planned, and ends the process.
+    async fn stop(self) {
+        let Self {
+            gateway,
+            callers,
+            close,
+            runtime,
+            ..
+        } = self;
+        let stopped =
+            runtime.spawn(async move { drain_and_stop(&gateway, &callers, &close).await });
+        stopped.await.unwrap();
+        runtime.shutdown_background();
+    }
+}
+
 /// Stops a gateway in calm, whose upstreams work for `work`, and for `work_before` until then;
 /// returns the requests and the upstreams.
 async fn stop_with(work_before: Duration, work: Duration) -> (Vec<Sent>, Vec<FakeUpstream>) {
@@ -148,7 +252,6 @@
         let id = format!("up-{number}");
         upstreams.push(FakeUpstream::start(&id, Behaviour::Serve(work_before)).await);
     }
-    let gateway = gateway(&FakeStore::new());
     let safe = Route {
         objective_ms: OBJECTIVE_MS,
         ..route()
@@ -159,48 +262,25 @@
         is_idempotent: false,
         ..safe.clone()
     };
-    {
-        let mut view = gateway.view();
-        view.manifest = Some(Arc::new(manifest(1, &[safe, once])));
-        for upstream in &upstreams {
-            let report = report(&upstream.id, upstream.address, UpstreamState::Ready);
-            view.directory.put(report, 0);
-        }
-    }
-    gateway.set_instances_loaded();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let callers = Arc::new(CallerCounts::default());
-    let (close, closing) = watch::channel(false);
-    // The process: all its connections end with it.
-    let process = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .unwrap();
-    let listener = listener.into_std().unwrap();
-    let (serving, counts) = (Arc::clone(&gateway), Arc::clone(&callers));
-    process.spawn(async move {
-        let listener = TcpListener::from_std(listener).unwrap();
-        serve_callers(listener, serving, counts, closing).await;
-    });
-    let begins = Instant::now() + work_before + Duration::from_secs(1);
+    let process =
+        StoppingProcess::start(&upstreams.iter().collect::<Vec<_>>(), &[safe, once]).await;
+    let address = process.address;
+    let start = Arc::new(Start::default());
     let mut requests = Vec::new();
     for kind in <Kind as strum::IntoEnumIterator>::iter() {
         for is_idempotent in [true, false] {
             for moment in 0..MOMENTS {
                 let at = INTERVAL * moment;
-                requests.push(tokio::spawn(send(address, kind, is_idempotent, at, begins)));
+                let sent = send(address, kind, is_idempotent, at, Arc::clone(&start));
+                requests.push(tokio::spawn(sent));
             }
         }
     }
-    sleep_until(begins).await;
+    sleep_until(start.set(requests.len()).await).await;
     for upstream in &upstreams {
         upstream.set_behaviour(Behaviour::Serve(work));
     }
-    let stopped = process.spawn(async move { drain_and_stop(&gateway, &callers, &close).await });
-    stopped.await.unwrap();
-    process.shutdown_background();
+    process.stop().await;
     let mut sent = Vec::new();
     for request in requests {
         sent.push(request.await.unwrap());
@@ -264,3 +344,62 @@
 async fn no_request_of_a_planned_stop_is_lost_at_upstreams_that_turn_slow() {
     tokio::join!(check(20, 200), check(20, 900), check(20, 1_500));
 }
+
+/// Sends a request, begins to read after [`READING_DELAY`], and returns the length of the answer.
+async fn read_late(address: SocketAddr) -> usize {
+    let mut stream = send_with_small_buffer(address).await;
+    sleep(READING_DELAY).await;
+    let mut received = 0;
+    let mut bytes = vec![0; 64 * 1024];
+    loop {
+        let count = stream.read(&mut bytes).await.unwrap_or(0);
+        if count == 0 {
+            return received;
+        }
+        received += count;
+    }
+}
+
+async fn send_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
+    let request = b"GET /x HTTP/1.1\r\nhost: h.example\r\nt-id: large\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    stream
+}
+
+// Guards against answers that are cut while they are written, with time left for the stop.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_until_its_answers_are_written() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::ServeBytes(LARGE_BYTES)).await;
+    let process = StoppingProcess::start(&[&upstream], &[route()]).await;
+
+    let reading = tokio::spawn(read_late(process.address));
+    within(Duration::from_secs(1), "it has run", || {
+        !upstream.runs().is_empty()
+    })
+    .await;
+    process.stop().await;
+
+    expect_that!(reading.await.unwrap(), ge(LARGE_BYTES));
+}
+
+// Guards against a stop that waits for a caller which reads nothing beyond the stop limit.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_ends_though_a_caller_reads_nothing() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::ServeBytes(LARGE_BYTES)).await;
+    let process = StoppingProcess::start(&[&upstream], &[route()]).await;
+    let _stream = send_with_small_buffer(process.address).await;
+    within(Duration::from_secs(1), "it has run", || {
+        !upstream.runs().is_empty()
+    })
+    .await;
+
+    let began = Instant::now();
+    process.stop().await;
+
+    expect_that!(began.elapsed(), lt(Duration::from_secs(6)));
+}
