Undecided ends are checked a moment after the links are back

Change: 100 ms between the first answer and the check; the line of a response that is given up counts in the log's budget; comments.

--- a/src/gateway/crash_evidence.rs
+++ b/src/gateway/crash_evidence.rs
@@ -38,8 +38,8 @@
 /// Time for which an end stays undecided while no upstream answers; upstreams that ended are
 /// back within some seconds.
 const UNDECIDED_TIMEOUT: Duration = Duration::from_secs(20);
-/// Interval at which an undecided upstream is checked once one answers again.
-const UNDECIDED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay before each check of an undecided upstream while others answer.
+const UNDECIDED_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Largest difference between the failure and the start of the new process of an
 /// upstream that always accepted connections; it includes that of their clocks.
 const MAX_RESTART_DIFFERENCE_MS: u64 = 2_000;
@@ -194,8 +194,14 @@
 async fn decide_later<P: Platform>(gateway: &Arc<Gateway<P>>, failure: &Failure) {
     let until = Instant::now() + UNDECIDED_TIMEOUT;
     while Instant::now() < until {
-        // A timeout leaves the loop.
-        let _ = timeout_at(until, gateway.contact.in_contact()).await;
+        if timeout_at(until, gateway.contact.in_contact())
+            .await
+            .is_err()
+        {
+            return;
+        }
+        // Links that were lost may come back one after the other.
+        sleep(UNDECIDED_CHECK_DELAY).await;
         match failure.client.check_listens(&gateway.metrics).await {
             ListenState::Accepted => {
                 if wait_for_restart(gateway, failure, true).await {
@@ -210,7 +216,6 @@
             }
             ListenState::Closed | ListenState::Unknown => {}
         }
-        sleep(UNDECIDED_CHECK_INTERVAL).await;
     }
 }
 
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -95,7 +95,7 @@
             Ok(HandedAnswer::Ended { end, history: all }) => {
                 gateway.metrics.on_handed("ended");
                 let outcome = end.into_outcome(&gateway.response_memory);
-                let outcome = outcome.unwrap_or_else(|| give_up_response(call, &known));
+                let outcome = outcome.unwrap_or_else(|| give_up_response(gateway, call, &known));
                 let end = ended(call, history, all, outcome);
                 if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
                     return end;
@@ -154,9 +154,14 @@
 }
 
 /// Gives up a response for which the other responses leave no memory; the request has run.
-fn give_up_response(call: &Call, known: &KnownOffer) -> Outcome {
-    let request = call.id_text();
-    tracing::info!(request, from = %known.address, "response of another instance given up: other responses hold the memory that the body needs");
+fn give_up_response<P: Platform>(gateway: &Gateway<P>, call: &Call, known: &KnownOffer) -> Outcome {
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            from = %known.address,
+            "response of another instance given up: other responses hold the memory that the body needs"
+        );
+    }
     Outcome::gateway_error(Reason::UpstreamFailed)
 }
 
--- a/src/gateway/link_checks.rs
+++ b/src/gateway/link_checks.rs
@@ -28,8 +28,8 @@
 /// silent; at first those that have not failed, and have a kept connection.
 ///
 /// Limited, cold and draining ones are not to be asked for this. If there are no others, a
-/// connection that one of them accepts shows that the links work. So it does if it comes from an
-/// upstream whose probes wait for a slot: its silence does not show the opposite.
+/// connection that one of them accepts shows that the links work. Upstreams whose probes wait for
+/// a slot are checked in this way, too, since their silence may only mean that they are full.
 pub fn start_probes<P: Platform>(gateway: &Arc<Gateway<P>>, count: usize) {
     let Some(manifest) = gateway.manifest() else {
         return;
