--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -24,7 +24,7 @@
 const ENDS_TO_KNOW: usize = 3;
 /// Pause after which the caller sends its request again.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
-/// The same as the users play it for a small service, and for how long.
+/// The same at a small service, and for how long the caller goes on.
 const SLOW_RESEND_PAUSE: Duration = Duration::from_millis(700);
 const RESENT_FOR: Duration = Duration::from_secs(14);
 /// Time after the third end from which on at most [`LATE_RUNS_ALLOWED`] more are allowed.
--- a/tests/gateway/full_upstreams.rs
+++ b/tests/gateway/full_upstreams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicorywing::decision::manifest::Route;
+use chicorywing::decision::upstream_contact::ContactEvidence;
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::Outcome;
 use chicorywing::gateway::store::Stream;
@@ -44,7 +45,7 @@
 }
 
 impl Fleet {
-    /// Starts an instance that has been served by each upstream, or been probed by it.
+    /// Starts an instance that knows how the upstreams answer probes.
     async fn start() -> Self {
         let store = FakeStore::new();
         let links = Links::new();
@@ -156,7 +157,7 @@
     let first = fleet.fill_slots().await;
     fleet.instance.gateway.begin_stop();
 
-    let evidence = chicorywing::decision::upstream_contact::ContactEvidence {
+    let evidence = ContactEvidence {
         failed: UPSTREAMS,
         no_answer_ms: None,
         held_ms: 0,
