--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -177,9 +177,11 @@
         self.child.lock().await.is_some()
     }
 
-    /// Replaces the settings file as a whole, as a process may be starting just now.
+    /// Replaces the settings file as a whole, as a process may be starting just now; a start and
+    /// a change may come at the same moment.
     fn write_settings(&self, settings: &serde_json::Value) {
-        let new_file = self.settings_file.with_extension("new");
+        let extension = format!("new-{}", rand::random::<u32>());
+        let new_file = self.settings_file.with_extension(extension);
         std::fs::write(&new_file, settings.to_string()).unwrap();
         std::fs::rename(&new_file, &self.settings_file).unwrap();
     }
