Logs and metrics say what ended an attempt without a response, and when in a stop

Change: the line of a failed attempt names its limit and the time left, the line of a request's end the time since the stop began; a counter by limit. No logic changes.

--- a/src/decision/stop_time.rs
+++ b/src/decision/stop_time.rs
@@ -18,6 +18,8 @@
 /// The times of a planned stop, on the clock of the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTime {
+    /// When the stop began, in milliseconds.
+    pub began_ms: u64,
     /// Until then connections are accepted, in milliseconds.
     pub accept_until_ms: u64,
     /// The process ends then at the latest, in milliseconds.
@@ -29,6 +31,7 @@
     #[must_use]
     pub fn new(now_ms: u64, limit_ms: u64) -> Self {
         Self {
+            began_ms: now_ms,
             accept_until_ms: now_ms + ACCEPT_AFTER_STOP_MS.min(limit_ms / 2),
             end_ms: now_ms + limit_ms.saturating_sub(STOP_MARGIN_MS),
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,7 @@
     registry: Registry,
     requests: EndCounters,
     sends: EndCounters,
+    given_up: EndCounters,
     send_permits: EndCounters,
     handed: EndCounters,
     long_values: EndCounters,
@@ -116,6 +117,7 @@
             registry: Registry::with_prefix("chicorywing"),
             requests: EndCounters::default(),
             sends: EndCounters::default(),
+            given_up: EndCounters::default(),
             send_permits: EndCounters::default(),
             handed: EndCounters::default(),
             long_values: EndCounters::default(),
@@ -161,6 +163,11 @@
             "Sends to upstreams by how they ended",
             self.sends.clone(),
         );
+        registry.register(
+            "given_up_attempts",
+            "Attempts without a response by what ended them",
+            self.given_up.clone(),
+        );
         registry.register("repeats", "Sends beyond the first", self.retries.clone());
         registry.register("probes", "Questions for the load", self.probes.clone());
         let failed = self.probes_failed.clone();
@@ -255,6 +262,11 @@
         count(&self.sends, end);
     }
 
+    /// Counts an attempt without a response by what ended it.
+    pub fn on_given_up(&self, limit: &'static str) {
+        count(&self.given_up, limit);
+    }
+
     /// Counts a request for a permit to send to a limited upstream by its outcome.
     pub fn on_send_permit(&self, end: &'static str) {
         count(&self.send_permits, end);
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -31,6 +31,18 @@
 /// don't count towards the route's averages.
 const MAX_TYPICAL_SPEED_PERCENT: f64 = 150.0;
 
+/// What ended an attempt that had no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AttemptLimit {
+    /// The time in which the response was expected.
+    Estimate,
+    /// The belief that this instance reaches no upstream.
+    LostLinks,
+    /// The deadline of the request.
+    Deadline,
+}
+
 /// How an attempt to send a request ended.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -136,7 +148,7 @@
         .upstream_s
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
-        Some(Ok(response)) => {
+        Ok(Ok(response)) => {
             let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response, asks_silence);
@@ -149,28 +161,31 @@
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
             sent
         }
-        Some(Err(error)) => {
+        Ok(Err(error)) => {
             on_exchange_error(gateway, call, &client, &error, sent_at);
             crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
-        None => {
+        Err(limit) => {
             // Closing the connection cancels the request at the upstream.
             drop(connection);
-            on_timeout(gateway, call, &client, sent_at);
+            on_timeout(gateway, call, &client, sent_at, limit);
             SendOutcome::Failed(Reason::Late)
         }
     }
 }
 
-/// Sends the request and waits for the response; `None` if it does not arrive in time.
+/// Sends the request and waits for the response.
+///
+/// # Errors
+/// Returns what ended the attempt if the response does not arrive in time.
 async fn exchange_until<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
     connection: &mut Connection,
     request: &HttpRequest,
     deadline: Instant,
-) -> Option<Result<HttpResponse, ExchangeError>> {
+) -> Result<Result<HttpResponse, ExchangeError>, AttemptLimit> {
     let id_header = Some(&gateway.platform.headers().request_id);
     let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
     tokio::pin!(exchange);
@@ -179,16 +194,23 @@
         tokio::select! {
             result = answered => result,
             // No answer can come any more; another instance may run the request in time.
-            () = lost_links(gateway) => return None,
+            () = lost_links(gateway) => return Err(AttemptLimit::LostLinks),
         }
     } else {
         answered.await
     };
     if result.is_err() && gateway.is_stopping() {
         // The upstream is at work, and a retry may find no room before the process ends.
-        return timeout_at(call.deadline, &mut exchange).await.ok();
+        let result = timeout_at(call.deadline, &mut exchange).await;
+        return result.map_err(|_| AttemptLimit::Deadline);
     }
-    result.ok()
+    result.map_err(|_| {
+        if deadline < call.deadline {
+            AttemptLimit::Estimate
+        } else {
+            AttemptLimit::Deadline
+        }
+    })
 }
 
 /// Waits until this instance believes that it reaches no upstream. During a planned stop the
@@ -327,9 +349,12 @@
     call: &Call,
     client: &UpstreamClient,
     sent_at: Instant,
+    limit: AttemptLimit,
 ) {
+    gateway.metrics.on_given_up(limit.into());
     let silent_ms = to_ms(sent_at.elapsed());
-    let what = format_args!("no response for {silent_ms} ms").to_string();
+    let left_ms = call.left_ms();
+    let what = format!("no response for {silent_ms} ms, limit {limit}, {left_ms} ms left");
     record_failure(gateway, call, client, Evidence::Failed, sent_at, &what);
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -353,6 +353,7 @@
             status = status.as_u16(),
             end,
             held_ms = to_ms(arrived.elapsed()),
+            stopping_for_ms = gateway.stopping_for_ms(),
             "request ended"
         );
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -417,6 +417,13 @@
         self.stopping.borrow().is_some()
     }
 
+    /// Time since the planned stop began, in milliseconds; `None` before it.
+    #[must_use]
+    pub fn stopping_for_ms(&self) -> Option<u64> {
+        let stop = (*self.stopping.borrow())?;
+        Some(self.now_ms().saturating_sub(stop.began_ms))
+    }
+
     /// Whether a request of a route, with this time until its deadline, may be sent to an
     /// upstream; not if the process would end before its response.
     #[must_use]
