--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -32,6 +32,7 @@
 mod scripted;
 mod server;
 mod slow_readers;
+mod slow_upstreams;
 mod store_copy;
 mod store_fork;
 mod store_trials;
