--- a/src/decision/ejection.rs
+++ b/src/decision/ejection.rs
@@ -26,6 +26,8 @@
     /// The upstream accepted a request or probe and failed it, or did not respond
     /// in time.
     Failed,
+    /// The upstream has not answered a request in the expected time, and may be at work on it.
+    Overdue,
     /// The upstream rejected a request although it had reported free capacity.
     Shed,
     /// The upstream rejected a request and wants nothing for a time.
@@ -45,8 +47,8 @@
     ejected_until_ms: u64,
     needs_trial: bool,
     is_trial_in_flight: bool,
-    /// Whether all failures since the last served request were refusals.
-    is_only_shed: bool,
+    /// Whether all failures since the last served request were refusals and late responses.
+    is_alive: bool,
 }
 
 impl EjectionState {
@@ -56,11 +58,12 @@
         now_ms >= self.ejected_until_ms && !(self.needs_trial && self.is_trial_in_flight)
     }
 
-    /// Whether the upstream is ejected for nothing but refusals. They cost a request little,
-    /// so it may be tried if there is no other one.
+    /// Whether the upstream is ejected for nothing but refusals and late responses, so that it
+    /// may be tried if there is no other one: a refusal costs a request little, and a service
+    /// that has turned slow as a whole still serves.
     #[must_use]
-    pub fn is_ejected_by_refusals(&self, now_ms: u64) -> bool {
-        !self.is_usable(now_ms) && self.is_only_shed
+    pub fn is_last_resort(&self, now_ms: u64) -> bool {
+        !self.is_usable(now_ms) && self.is_alive
     }
 
     /// Whether the upstream was ejected and the next request decides if it is
@@ -92,13 +95,13 @@
         if evidence != Evidence::Unreachable {
             self.unreachable_in_row = 0;
         }
-        if self.is_only_shed && evidence == Evidence::Served {
+        if self.is_alive && evidence == Evidence::Served {
             // It was tried for want of another one.
             self.ejected_until_ms = now_ms;
         }
-        self.is_only_shed = match evidence {
-            Evidence::Shed => self.failures_in_row == 0 || self.is_only_shed,
-            Evidence::TurnedAway => self.is_only_shed,
+        self.is_alive = match evidence {
+            Evidence::Shed | Evidence::Overdue => self.failures_in_row == 0 || self.is_alive,
+            Evidence::TurnedAway => self.is_alive,
             Evidence::Served | Evidence::Failed | Evidence::Unreachable => false,
         };
         match evidence {
@@ -114,7 +117,7 @@
                 }
                 false
             }
-            Evidence::Failed | Evidence::Shed => self.on_failure(now_ms),
+            Evidence::Failed | Evidence::Overdue | Evidence::Shed => self.on_failure(now_ms),
             Evidence::TurnedAway => false,
             Evidence::Unreachable => {
                 let pause_ms = backoff_ms(MIN_UNREACHABLE_PAUSE_MS, self.unreachable_in_row)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,8 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::time::sleep;
 
+use super::attempts::{Attempt, Attempts};
 use super::calls::Call;
 use super::hand_over;
 use super::handed::AttemptHistory;
@@ -21,6 +24,7 @@
 use super::store::Platform;
 use super::unwanted;
 use crate::decision::admission::{Admission, PROBE_AGAIN_DELAY_MS, PendingRequest};
+use crate::decision::upstream_contact::SILENCE_MS;
 
 /// Retry delay for callers whose request was held past its deadline, as by an instance
 /// that stood still.
@@ -33,6 +37,13 @@
 /// that it can read.
 const UNREAD_RETRY_AFTER_MS: u64 = 2_000;
 
+/// Delay before an attempt that the retry budget has denied is asked for again, while those
+/// that run are overdue.
+const RETRY_AGAIN_DELAY: Duration = Duration::from_millis(100);
+
+/// Time in which an upstream must answer a check of the links if none could be probed.
+const LINK_CHECK_WAIT: Duration = Duration::from_millis(SILENCE_MS);
+
 /// Upstreams that a request may find gone, after their probes, before it is refused.
 const MAX_UNSENT: usize = 8;
 
@@ -45,55 +56,97 @@
     Ended(Outcome),
     /// It was not sent, and the caller gets this unless an earlier response is better.
     Refused(Outcome),
+}
+
+/// How a try to make an attempt ended.
+#[derive(Debug)]
+pub enum TryEnd {
+    /// The attempt has ended.
+    Attempt(AttemptEnd),
     /// The chosen upstream could not be used.
     Unsent,
     /// No upstream answers this instance, or no other instance takes the request.
     NoContact,
 }
 
+impl From<AttemptEnd> for TryEnd {
+    fn from(end: AttemptEnd) -> Self {
+        Self::Attempt(end)
+    }
+}
+
 /// Forwards a request and returns the final response.
 ///
-/// A request that may have run is sent again only if its route is idempotent.
-/// Retries stay within the route's attempts and the service's retry budget. A request
-/// under which upstreams ended runs only with a permit, and finally not at all. While no
-/// upstream answers this instance, another one runs it.
+/// A request that may have run is sent again only if its route is idempotent. While all of its
+/// attempts are overdue, another one runs beside them, and the first response counts; none ends
+/// because it takes longer than expected. Retries stay within the route's attempts and the
+/// service's retry budget. A request under which upstreams ended runs only with a permit, and
+/// finally not at all. While no upstream answers this instance, another one runs it.
 pub async fn forward<P: Platform>(gateway: &Arc<Gateway<P>>, call: &Call) -> Outcome {
     let service = gateway.pick_service(&call.route);
     let Some(service) = service.filter(|service| gateway.knows_service(service)) else {
         return Outcome::refused(Reason::NoUpstream, UNREAD_RETRY_AFTER_MS);
     };
     gateway.on_request(&service);
-    let mut history = AttemptHistory::default();
+    let attempts = Attempts::default();
+    let mut running = FuturesUnordered::new();
+    running.push(attempt(gateway, call, &service, &attempts));
+    let mut may_add = true;
     let mut last_response: Option<Outcome> = None;
-    let mut may_hand_over = true;
     loop {
-        let mut end = attempt(gateway, call, &service, &mut history, may_hand_over).await;
-        if matches!(end, AttemptEnd::NoContact) {
-            end = hand_over::attempt(gateway, call, &service, &mut history).await;
+        let end = tokio::select! {
+            biased;
+            Some(end) = running.next() => end,
+            () = retry_beside(gateway, call, &service, &attempts), if may_add => {
+                gateway.metrics.retries.inc();
+                running.push(attempt(gateway, call, &service, &attempts));
+                continue;
+            }
+        };
+        if !running.is_empty() {
+            // What the others are still at work on may be answered.
+            match end {
+                AttemptEnd::Final(outcome @ Outcome::Answered(_)) => return outcome,
+                AttemptEnd::Ended(outcome @ Outcome::Answered(_)) => last_response = Some(outcome),
+                AttemptEnd::Ended(_) => {}
+                AttemptEnd::Final(_) | AttemptEnd::Refused(_) => may_add = false,
+            }
+            continue;
         }
         let outcome = match end {
             AttemptEnd::Final(outcome) => return outcome,
             AttemptEnd::Refused(refusal) => {
-                return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
-            }
-            AttemptEnd::NoContact if hand_over::is_certain(gateway) => {
-                let refusal = hand_over::refuse(gateway, call, &service);
-                return last_response.unwrap_or_else(|| history.correct_refusal(refusal));
+                return last_response
+                    .unwrap_or_else(|| attempts.history().correct_refusal(refusal));
             }
-            AttemptEnd::NoContact => {
-                may_hand_over = false;
-                continue;
-            }
-            AttemptEnd::Unsent if has_unsent_left(&history) => continue,
-            AttemptEnd::Unsent => not_run(gateway, call, &service, &history),
             AttemptEnd::Ended(outcome) => outcome,
         };
-        let may_retry = call.route.is_idempotent || !history.may_have_run;
-        if !may_retry || !take_retry(gateway, call, &service, &history) {
+        let may_retry = call.route.is_idempotent || !attempts.history().may_have_run;
+        if !may_retry || !take_retry(gateway, call, &service, &attempts) {
             return outcome;
         }
         gateway.metrics.retries.inc();
         last_response = matches!(outcome, Outcome::Answered(_)).then_some(outcome);
+        may_add = true;
+        running.push(attempt(gateway, call, &service, &attempts));
+    }
+}
+
+/// Waits until all attempts are overdue and another one may begin beside them.
+///
+/// A suspect request runs at one place at a time.
+async fn retry_beside<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    service: &Arc<str>,
+    attempts: &Attempts,
+) {
+    loop {
+        attempts.all_overdue().await;
+        if !run_permit::is_suspect(gateway, call) && take_retry(gateway, call, service, attempts) {
+            return;
+        }
+        sleep(RETRY_AGAIN_DELAY).await;
     }
 }
 
@@ -105,48 +158,85 @@
     service: &Arc<str>,
     history: &mut AttemptHistory,
 ) -> Option<Outcome> {
+    let attempts = Attempts::after(history.clone());
+    let mut attempt = attempts.begin();
+    let outcome = loop {
+        match try_once(gateway, call, service, &mut attempt, true).await {
+            TryEnd::Attempt(
+                AttemptEnd::Final(outcome)
+                | AttemptEnd::Ended(outcome)
+                | AttemptEnd::Refused(outcome),
+            ) => break Some(outcome),
+            TryEnd::NoContact => break None,
+            TryEnd::Unsent if has_unsent_left(&attempts) => {}
+            TryEnd::Unsent => break Some(not_run(gateway, call, service, &attempts)),
+        }
+    };
+    drop(attempt);
+    *history = attempts.history();
+    outcome
+}
+
+/// Makes one attempt, at an upstream or, while none answers this instance, at another instance.
+async fn attempt<P: Platform>(
+    gateway: &Arc<Gateway<P>>,
+    call: &Call,
+    service: &Arc<str>,
+    attempts: &Attempts,
+) -> AttemptEnd {
+    let mut attempt = attempts.begin();
     loop {
-        match attempt(gateway, call, service, history, true).await {
-            AttemptEnd::Final(outcome)
-            | AttemptEnd::Ended(outcome)
-            | AttemptEnd::Refused(outcome) => return Some(outcome),
-            AttemptEnd::NoContact => return None,
-            AttemptEnd::Unsent if has_unsent_left(history) => {}
-            AttemptEnd::Unsent => return Some(not_run(gateway, call, service, history)),
+        let may_hand_over = attempts.may_hand_over();
+        let mut end = try_once(gateway, call, service, &mut attempt, may_hand_over).await;
+        if matches!(end, TryEnd::NoContact) {
+            end = hand_over::attempt(gateway, call, service, &mut attempt).await;
+        }
+        match end {
+            TryEnd::Attempt(end) => return end,
+            TryEnd::NoContact if hand_over::is_certain(gateway) => {
+                return AttemptEnd::Refused(hand_over::refuse(gateway, call, service));
+            }
+            TryEnd::NoContact => attempts.keep_here(),
+            TryEnd::Unsent if has_unsent_left(attempts) => {}
+            TryEnd::Unsent => {
+                return AttemptEnd::Ended(not_run(gateway, call, service, attempts));
+            }
         }
     }
 }
 
-/// Makes one attempt to send a request to an upstream.
+/// Tries to send a request to an upstream.
 ///
-/// [`AttemptEnd::NoContact`] comes at once if this instance is cut off, and if no upstream
-/// answers its probes only if the request may be handed over.
-async fn attempt<P: Platform>(
+/// [`TryEnd::NoContact`] comes at once if this instance is cut off, and if no upstream answers
+/// its probes only if the request may be handed over.
+async fn try_once<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    history: &mut AttemptHistory,
+    attempt: &mut Attempt<'_>,
     may_hand_over: bool,
-) -> AttemptEnd {
+) -> TryEnd {
     if !gateway.may_begin(&call.route, call.left_ms()) {
-        return AttemptEnd::Refused(refuse_while_stopping(gateway, call, service));
+        return AttemptEnd::Refused(refuse_while_stopping(gateway, call, service)).into();
     }
     if may_hand_over && gateway.contact.is_cut_off() {
-        return AttemptEnd::NoContact;
+        return TryEnd::NoContact;
     }
     let permit = match run_permit::acquire(gateway, call).await {
         Ok(permit) => permit,
         Err(denial) => {
-            return AttemptEnd::Final(history.correct_refusal(denied(gateway, call, denial)));
+            let refusal = denied(gateway, call, denial);
+            let history = attempt.all().history();
+            return AttemptEnd::Final(history.correct_refusal(refusal)).into();
         }
     };
     let mut excluded = run_permit::ended_upstreams(gateway, call);
-    excluded.extend_from_slice(&history.tried);
+    excluded.extend_from_slice(&attempt.all().history().tried);
     let choice = choose_upstream(gateway, call, service, &excluded, may_hand_over);
     let choice = tokio::select! {
         biased;
         choice = choice => choice,
-        () = gateway.contact.cut_off(), if may_hand_over => return AttemptEnd::NoContact,
+        () = gateway.contact.cut_off(), if may_hand_over => return TryEnd::NoContact,
     };
     let chosen = match choice {
         Ok(chosen) => chosen,
@@ -155,28 +245,44 @@
     if !permit.is_valid(call) {
         let unused = chosen.upstream;
         unused.client.release(unused.connection);
-        return AttemptEnd::Unsent;
+        return TryEnd::Unsent;
     }
-    let id = &chosen.upstream.upstream.report.id;
-    history.tried.push(Arc::clone(id));
-    let sent = send(gateway, call, chosen).await;
+    let id = Arc::clone(&chosen.upstream.upstream.report.id);
+    attempt
+        .all()
+        .update_history(|history| history.tried.push(id));
+    let sent = send(gateway, call, chosen, attempt).await;
     drop(permit);
-    history.sends += usize::from(!matches!(sent, SendOutcome::Unsent));
+    let is_sent = !matches!(sent, SendOutcome::Unsent);
+    attempt.all().update_history(|history| {
+        history.sends += usize::from(is_sent);
+        history.may_have_run |= may_have_run(call, &sent);
+    });
     match sent {
         SendOutcome::Answered(response) => {
             let is_final = !call.route.is_idempotent || !response.status.is_server_error();
+            let outcome = Outcome::Answered(response);
             if is_final {
-                return AttemptEnd::Final(Outcome::Answered(response));
+                return AttemptEnd::Final(outcome).into();
             }
-            history.may_have_run = true;
-            AttemptEnd::Ended(Outcome::Answered(response))
+            AttemptEnd::Ended(outcome).into()
         }
-        SendOutcome::Unsent => AttemptEnd::Unsent,
-        SendOutcome::NotRun => AttemptEnd::Ended(not_run(gateway, call, service, history)),
-        SendOutcome::Failed(reason) => {
-            history.may_have_run = true;
-            AttemptEnd::Ended(Outcome::gateway_error(reason))
+        SendOutcome::Unsent => TryEnd::Unsent,
+        SendOutcome::NotRun => {
+            AttemptEnd::Ended(not_run(gateway, call, service, attempt.all())).into()
         }
+        SendOutcome::Failed(reason) => AttemptEnd::Ended(Outcome::gateway_error(reason)).into(),
+    }
+}
+
+/// Whether a send that did not end the request may have run it.
+fn may_have_run(call: &Call, sent: &SendOutcome) -> bool {
+    match sent {
+        SendOutcome::Answered(response) => {
+            call.route.is_idempotent && response.status.is_server_error()
+        }
+        SendOutcome::Failed(_) => true,
+        SendOutcome::Unsent | SendOutcome::NotRun => false,
     }
 }
 
@@ -196,7 +302,8 @@
     Outcome::refused(Reason::Refused, STOPPING_RETRY_AFTER_MS)
 }
 
-fn has_unsent_left(history: &AttemptHistory) -> bool {
+fn has_unsent_left(attempts: &Attempts) -> bool {
+    let history = attempts.history();
     history.tried.len().saturating_sub(history.sends) < MAX_UNSENT
 }
 
@@ -204,12 +311,12 @@
     gateway: &Gateway<P>,
     call: &Call,
     service: &str,
-    history: &AttemptHistory,
+    attempts: &Attempts,
 ) -> Outcome {
     let return_ms = unwanted::return_ms(gateway, service);
     let return_ms = return_ms.unwrap_or_else(|| retry_after_ms(gateway, call));
     let refusal = Outcome::refused(Reason::Refused, return_ms);
-    history.correct_refusal(refusal)
+    attempts.history().correct_refusal(refusal)
 }
 
 fn denied<P: Platform>(gateway: &Gateway<P>, call: &Call, denial: Denial) -> Outcome {
@@ -224,10 +331,10 @@
     gateway: &Gateway<P>,
     call: &Call,
     service: &Arc<str>,
-    history: &AttemptHistory,
+    attempts: &Attempts,
 ) -> bool {
-    let attempts = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
-    history.sends < attempts && call.left_ms() > 0 && gateway.try_acquire_retry(service)
+    let most = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
+    attempts.sends() < most && call.left_ms() > 0 && gateway.try_acquire_retry(service)
 }
 
 fn retry_after_ms<P: Platform>(gateway: &Gateway<P>, call: &Call) -> u64 {
@@ -255,15 +362,15 @@
     service: &Arc<str>,
     excluded: &[Arc<str>],
     may_hand_over: bool,
-) -> Result<Chosen<P>, AttemptEnd> {
+) -> Result<Chosen<P>, TryEnd> {
     let began_ms = gateway.now_ms();
     loop {
         if call.left_ms() == 0 {
             let refusal = Outcome::refused(Reason::LateUnsent, LATE_RETRY_AFTER_MS);
-            return Err(AttemptEnd::Refused(refusal));
+            return Err(AttemptEnd::Refused(refusal).into());
         }
         if let Some(refusal) = unwanted::refuse(gateway, call, service) {
-            return Err(AttemptEnd::Refused(refusal));
+            return Err(AttemptEnd::Refused(refusal).into());
         }
         if let Some(chosen) = limited_choice::choose(gateway, call, service, excluded, false).await
         {
@@ -271,8 +378,11 @@
         }
         let (mut probed, candidates) =
             probe_candidates(gateway, call, service, excluded, may_hand_over).await;
-        if may_hand_over && probed.is_empty() && has_no_contact(gateway, service, began_ms) {
-            return Err(AttemptEnd::NoContact);
+        if may_hand_over
+            && probed.is_empty()
+            && has_no_contact(gateway, service, began_ms, candidates).await
+        {
+            return Err(TryEnd::NoContact);
         }
         let best = take_best(gateway, service, &mut probed);
         for other in probed {
@@ -299,7 +409,7 @@
         if candidates == 0
             && let Some(refusal) = limited_choice::refuse(gateway, call, service, excluded)
         {
-            return Err(AttemptEnd::Refused(refusal));
+            return Err(AttemptEnd::Refused(refusal).into());
         }
         match (admission, best) {
             (Admission::Send, Some(upstream)) => {
@@ -326,7 +436,7 @@
                     Reason::NoRoom
                 };
                 let refusal = Outcome::refused(reason, retry_after_ms);
-                return Err(AttemptEnd::Refused(refusal));
+                return Err(AttemptEnd::Refused(refusal).into());
             }
             (_, best) => {
                 if let Some(best) = best {
@@ -340,7 +450,14 @@
 
 /// Whether all upstreams that were tried since `began_ms` failed or stayed silent, and not
 /// because they may only be full.
-fn has_no_contact<P: Platform>(gateway: &Gateway<P>, service: &str, began_ms: u64) -> bool {
+///
+/// Without `candidates`, as all are ejected or have been tried, none was asked: a check decides.
+async fn has_no_contact<P: Platform>(
+    gateway: &Gateway<P>,
+    service: &str,
+    began_ms: u64,
+    candidates: usize,
+) -> bool {
     if gateway.contact.lets_probes_wait(service) {
         return false;
     }
@@ -348,7 +465,11 @@
         let contact = gateway.contact.decision();
         contact.has_failures() && !contact.has_answered_since(began_ms)
     };
-    is_silent && !gateway.eligible_upstreams(service).is_empty()
+    if !is_silent || gateway.eligible_upstreams(service).is_empty() {
+        return false;
+    }
+    let contact = &gateway.contact;
+    candidates > 0 || !contact.has_answer_since(began_ms, LINK_CHECK_WAIT).await
 }
 
 fn log_refusal<P: Platform>(
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -1,19 +1,20 @@
 //! Hands requests to other instances while this one reaches no upstream.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
-use super::calls::{BodyReservation, Call, to_ms};
-use super::forward::AttemptEnd;
+use super::attempts::{Attempt, overdue, overdue_at};
+use super::calls::{BodyReservation, Call};
+use super::forward::{AttemptEnd, TryEnd};
 use super::handed::{
     AttemptHistory, HandedAnswer, HandedRequest, MAX_HANDED_BYTES, encode_headers,
 };
 use super::offers::{Declined, KnownOffer, ask_once};
 use super::outcome::{Outcome, Reason};
 use super::peer_client::HandError;
-use super::sending::attempt_deadline;
 use super::state::Gateway;
 use super::store::Platform;
 
@@ -33,7 +34,7 @@
 /// Time in which a receiver must respond before it gets a request: 60 ms on a kept
 /// connection, the silence of an upstream in doubt, and the rest on a new one.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(180);
-/// Added to the timeout of an attempt, for the receiver's probes and the hop.
+/// Added to the time after which an attempt is overdue, for the receiver's probes and the hop.
 const HOP_MARGIN: Duration = Duration::from_millis(100);
 /// Retry delay for callers refused because nobody takes requests; links that flap are
 /// back after a few hundred milliseconds.
@@ -43,20 +44,20 @@
 
 /// Hands a request to another instance.
 ///
-/// [`AttemptEnd::NoContact`] if nobody took it, and nothing was sent.
+/// [`TryEnd::NoContact`] if nobody took it, and nothing was sent.
 pub async fn attempt<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    history: &mut AttemptHistory,
-) -> AttemptEnd {
+    attempt: &mut Attempt<'_>,
+) -> TryEnd {
     if call.left_ms() == 0 || call.body.len() > MAX_HANDED_BYTES {
-        return AttemptEnd::NoContact;
+        return TryEnd::NoContact;
     }
     // The call holds the body a second time, encoded.
     let mut copy = BodyReservation::new(&gateway.body_memory);
     if !copy.grow(call.body.len()) {
-        return AttemptEnd::NoContact;
+        return TryEnd::NoContact;
     }
     let began_ms = gateway.now_ms();
     let mut refusal = None;
@@ -66,7 +67,10 @@
         if !gateway.offers.is_known(gateway.now_ms()) {
             ask_once(gateway).await;
         }
-        let Some(known) = gateway.offers.take(&declined) else {
+        // The same one again may be reached on a new connection.
+        let others = declined.and(&attempt.all().receivers());
+        let known = gateway.offers.take(&others);
+        let Some(known) = known.or_else(|| gateway.offers.take(&declined)) else {
             let may_come = is_cut_young(gateway, began_ms)
                 || gateway
                     .offers
@@ -77,7 +81,8 @@
             sleep(ASK_AGAIN_DELAY).await;
             continue;
         };
-        let end = hand_to(gateway, call, service, history, &known).await;
+        let history = attempt.all().history();
+        let end = hand_to(gateway, call, service, &history, &known, attempt).await;
         log_end(gateway, call, &known, &end);
         match end {
             Ok(HandedAnswer::NotTaken { retry_after_ms, .. })
@@ -96,9 +101,13 @@
                 gateway.metrics.on_handed("ended");
                 let outcome = end.into_outcome(&gateway.response_memory);
                 let outcome = outcome.unwrap_or_else(|| give_up_response(gateway, call, &known));
-                let end = ended(call, history, all, outcome);
+                let was_sent = all.sends > history.sends;
+                attempt
+                    .all()
+                    .update_history(|known| known.add(&history, all));
+                let end = ended(call, was_sent, outcome);
                 if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
-                    return end;
+                    return end.into();
                 }
                 // It may lack some links, too; another one may have room.
                 gateway.offers.remove(known.address);
@@ -108,17 +117,19 @@
             Err(error) => {
                 gateway.metrics.on_handed("lost");
                 gateway.offers.remove(known.address);
-                history.sends += 1;
-                history.may_have_run = true;
+                attempt.all().update_history(|history| {
+                    history.sends += 1;
+                    history.may_have_run = true;
+                });
                 let reason = match error {
                     HandError::Timeout => Reason::Late,
                     HandError::NotSent(_) | HandError::Lost(_) => Reason::UpstreamFailed,
                 };
-                return AttemptEnd::Ended(Outcome::gateway_error(reason));
+                return AttemptEnd::Ended(Outcome::gateway_error(reason)).into();
             }
         }
     }
-    refusal.unwrap_or(AttemptEnd::NoContact)
+    refusal.map_or(TryEnd::NoContact, TryEnd::from)
 }
 
 /// Whether this instance's links were lost so lately that an instance that has some may
@@ -165,15 +176,8 @@
     Outcome::gateway_error(Reason::UpstreamFailed)
 }
 
-/// Takes over what the receiver did, and decides whether the request may be tried again.
-fn ended(
-    call: &Call,
-    history: &mut AttemptHistory,
-    all: AttemptHistory,
-    outcome: Outcome,
-) -> AttemptEnd {
-    let was_sent = all.sends > history.sends;
-    *history = all;
+/// Decides whether the request may be tried again.
+fn ended(call: &Call, was_sent: bool, outcome: Outcome) -> AttemptEnd {
     match &outcome {
         Outcome::Answered(response) => {
             let is_final = !call.route.is_idempotent || !response.status.is_server_error();
@@ -194,6 +198,7 @@
     service: &Arc<str>,
     history: &AttemptHistory,
     known: &KnownOffer,
+    attempt: &mut Attempt<'_>,
 ) -> Result<HandedAnswer, HandError> {
     let client = gateway
         .peers
@@ -201,8 +206,7 @@
         .await
         .map_err(HandError::NotSent)?;
     let work_ms = gateway.route_means(&call.route).work_ms;
-    let now = Instant::now();
-    let deadline = (attempt_deadline(call, work_ms, now) + HOP_MARGIN).min(call.deadline);
+    let overdue_at = overdue_at(call, work_ms, Instant::now()).map(|at| at + HOP_MARGIN);
     let offer_age_ms = gateway.now_ms().saturating_sub(known.received_ms);
     let request = HandedRequest {
         id: call.id.as_ref().map(|id| id.as_bytes().to_vec()),
@@ -213,7 +217,7 @@
         body: call.body.to_vec(),
         service: Arc::clone(service),
         held_ms: call.held_ms(),
-        left_ms: to_ms(deadline.saturating_duration_since(now)),
+        left_ms: call.left_ms(),
         sent_ms: known.offer.now_ms + offer_age_ms,
         history: history.clone(),
     };
@@ -234,7 +238,31 @@
             "request handed to another instance"
         );
     }
-    client.run_handed(request, deadline).await
+    attempt.note_receiver(known.address);
+    let mut end = pin!(client.run_handed(request, call.deadline));
+    tokio::select! {
+        end = &mut end => return end,
+        () = overdue(overdue_at) => {}
+    }
+    on_overdue(gateway, call, known);
+    attempt.set_overdue();
+    end.await
+}
+
+/// Records that an answer of another instance is overdue; the request may be at work there.
+fn on_overdue<P: Platform>(gateway: &Gateway<P>, call: &Call, known: &KnownOffer) {
+    gateway.metrics.on_handed("overdue");
+    gateway.offers.remove(known.address);
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            to = %known.address,
+            held_ms = call.held_ms(),
+            left_ms = call.left_ms(),
+            stopping_for_ms = gateway.stopping_for_ms(),
+            "answer of another instance overdue; waiting on"
+        );
+    }
 }
 
 fn log_end<P: Platform>(
--- a/src/gateway/handed.rs
+++ b/src/gateway/handed.rs
@@ -114,6 +114,17 @@
 }
 
 impl AttemptHistory {
+    /// Adds what another instance did with a request that it got with the history `before`.
+    pub fn add(&mut self, before: &Self, after: Self) {
+        for id in after.tried {
+            if !self.tried.contains(&id) {
+                self.tried.push(id);
+            }
+        }
+        self.sends += after.sends.saturating_sub(before.sends);
+        self.may_have_run |= after.may_have_run;
+    }
+
     /// Replaces a refusal, which tells the caller that the request did not run,
     /// once an earlier attempt may have run it.
     #[must_use]
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,7 +54,7 @@
     registry: Registry,
     requests: EndCounters,
     sends: EndCounters,
-    given_up: EndCounters,
+    overdue: EndCounters,
     send_permits: EndCounters,
     handed: EndCounters,
     long_values: EndCounters,
@@ -117,7 +117,7 @@
             registry: Registry::with_prefix("chicorywing"),
             requests: EndCounters::default(),
             sends: EndCounters::default(),
-            given_up: EndCounters::default(),
+            overdue: EndCounters::default(),
             send_permits: EndCounters::default(),
             handed: EndCounters::default(),
             long_values: EndCounters::default(),
@@ -164,9 +164,9 @@
             self.sends.clone(),
         );
         registry.register(
-            "given_up_attempts",
-            "Attempts without a response by what ended them",
-            self.given_up.clone(),
+            "overdue_attempts",
+            "Attempts beside which another may begin, by cause",
+            self.overdue.clone(),
         );
         registry.register("repeats", "Sends beyond the first", self.retries.clone());
         registry.register("probes", "Questions for the load", self.probes.clone());
@@ -262,9 +262,9 @@
         count(&self.sends, end);
     }
 
-    /// Counts an attempt without a response by what ended it.
-    pub fn on_given_up(&self, limit: &'static str) {
-        count(&self.given_up, limit);
+    /// Counts an attempt that takes longer than expected by its cause.
+    pub fn on_overdue(&self, cause: &'static str) {
+        count(&self.overdue, cause);
     }
 
     /// Counts a request for a permit to send to a limited upstream by its outcome.
--- a/src/gateway/offers.rs
+++ b/src/gateway/offers.rs
@@ -53,7 +53,7 @@
 }
 
 /// Instances that have not taken a request, and since when.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Declined(Vec<(SocketAddr, u64)>);
 
 impl Declined {
@@ -68,6 +68,16 @@
         self.0.push((address, u64::MAX));
     }
 
+    /// These instances, and `others`.
+    #[must_use]
+    pub fn and(&self, others: &[SocketAddr]) -> Self {
+        let mut all = self.clone();
+        for address in others {
+            all.for_good(*address);
+        }
+        all
+    }
+
     fn holds(&self, known: &KnownOffer) -> bool {
         let no_answer_ms = known.offer.no_answer_ms.unwrap_or(u64::MAX);
         let answered_ms = known.received_ms.saturating_sub(no_answer_ms);
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -119,7 +119,7 @@
         let client = gateway.upstream_clients.get(&upstream.report);
         let failure_share = {
             let ejection = client.ejection();
-            let is_last_resort = !has_usable && ejection.is_ejected_by_refusals(now_ms);
+            let is_last_resort = !has_usable && ejection.is_last_resort(now_ms);
             if !ejection.is_usable(now_ms) && !is_last_resort {
                 continue;
             }
--- a/src/gateway/run_permit.rs
+++ b/src/gateway/run_permit.rs
@@ -137,6 +137,11 @@
     gateway.ended_upstreams(fingerprint.content)
 }
 
+/// Whether upstreams ended under a request, so that it runs at one place at a time, if at all.
+pub fn is_suspect<P: Platform>(gateway: &Gateway<P>, call: &Call) -> bool {
+    verdict(gateway, call) != Verdict::Clear
+}
+
 fn permit<P: Platform>(gateway: &Arc<Gateway<P>>, held: Option<Held>) -> RunPermit<P> {
     RunPermit {
         gateway: Arc::clone(gateway),
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -1,11 +1,12 @@
 //! Sends a request to an upstream and classifies the response.
 
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{HeaderValue, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
+use super::attempts::{Attempt, OverdueCause, overdue, overdue_at};
 use super::calls::{Call, to_ms};
 use super::crash_evidence;
 use super::limited_choice::Chosen;
@@ -22,27 +23,10 @@
 use crate::decision::route_times::RouteMeans;
 use crate::decision::selection::{Reading, USUAL_SPEED_PERCENT, expected_ms};
 
-/// Multiple of the expected service time after which an attempt of an idempotent
-/// request times out, so that it can be retried on another upstream.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 3.0;
-/// Added to that, since an upstream may slow down for 150 ms at a time.
-const ATTEMPT_TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
 /// Service time, in percent of the usual one, above which an upstream's responses
 /// don't count towards the route's averages.
 const MAX_TYPICAL_SPEED_PERCENT: f64 = 150.0;
 
-/// What ended an attempt that had no response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum AttemptLimit {
-    /// The time in which the response was expected.
-    Estimate,
-    /// The belief that this instance reaches no upstream.
-    LostLinks,
-    /// The deadline of the request.
-    Deadline,
-}
-
 /// How an attempt to send a request ended.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -71,11 +55,13 @@
     }
 }
 
-/// Sends a request on the connection of its upstream's probe, or with a permit.
+/// Sends a request on the connection of its upstream's probe, or with a permit, and waits for the
+/// response until the request's deadline.
 pub async fn send<P: Platform>(
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     chosen: Chosen<P>,
+    attempt: &mut Attempt<'_>,
 ) -> SendOutcome {
     let Chosen {
         upstream: chosen,
@@ -140,15 +126,19 @@
     }
     let request = upstream_request(names, call, &chosen.upstream.report.id);
     let sent_at = Instant::now();
-    let deadline = attempt_deadline(call, expected_ms, sent_at);
-    let result = exchange_until(gateway, call, &mut connection, &request, deadline).await;
+    let sent = Sent {
+        client: &client,
+        sent_at,
+        overdue_at: overdue_at(call, expected_ms, sent_at),
+    };
+    let result = exchange(gateway, call, &mut connection, &request, &sent, attempt).await;
     guard.is_finished = true;
     gateway
         .metrics
         .upstream_s
         .observe(sent_at.elapsed().as_secs_f64());
     match result {
-        Ok(Ok(response)) => {
+        Some(Ok(response)) => {
             let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
             let sent = classify_response(gateway, call, &client, response, asks_silence);
@@ -161,76 +151,49 @@
             update_means(gateway, call, &chosen.reading, sent_at, &sent);
             sent
         }
-        Ok(Err(error)) => {
+        Some(Err(error)) => {
             on_exchange_error(gateway, call, &client, &error, sent_at);
             crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
-        Err(limit) => {
+        None => {
             // Closing the connection cancels the request at the upstream.
             drop(connection);
-            on_timeout(gateway, call, &client, sent_at, limit);
+            on_timeout(gateway, call, &sent, attempt);
             SendOutcome::Failed(Reason::Late)
         }
     }
 }
 
-/// Sends the request and waits for the response.
-///
-/// # Errors
-/// Returns what ended the attempt if the response does not arrive in time.
-async fn exchange_until<P: Platform>(
+/// A request that an upstream has got.
+struct Sent<'c> {
+    client: &'c UpstreamClient,
+    sent_at: Instant,
+    /// When the attempt is overdue; `None` for one beside which no other may begin.
+    overdue_at: Option<Instant>,
+}
+
+/// Sends the request and waits for the response; `None` if it does not arrive before the
+/// request's deadline.
+async fn exchange<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
     connection: &mut Connection,
     request: &HttpRequest,
-    deadline: Instant,
-) -> Result<Result<HttpResponse, ExchangeError>, AttemptLimit> {
+    sent: &Sent<'_>,
+    attempt: &mut Attempt<'_>,
+) -> Option<Result<HttpResponse, ExchangeError>> {
     let id_header = Some(&gateway.platform.headers().request_id);
     let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
-    tokio::pin!(exchange);
-    let answered = timeout_at(deadline, &mut exchange);
-    let result = if call.route.is_idempotent {
-        tokio::select! {
-            result = answered => result,
-            // No answer can come any more; another instance may run the request in time.
-            () = lost_links(gateway) => return Err(AttemptLimit::LostLinks),
-        }
-    } else {
-        answered.await
+    let mut exchange = pin!(timeout_at(call.deadline, exchange));
+    let cause = tokio::select! {
+        result = &mut exchange => return result.ok(),
+        () = overdue(sent.overdue_at) => OverdueCause::Estimate,
+        () = gateway.contact.cut_off(), if sent.overdue_at.is_some() => OverdueCause::LostLinks,
     };
-    if result.is_err() && gateway.is_stopping() {
-        // The upstream is at work, and a retry may find no room before the process ends.
-        let result = timeout_at(call.deadline, &mut exchange).await;
-        return result.map_err(|_| AttemptLimit::Deadline);
-    }
-    result.map_err(|_| {
-        if deadline < call.deadline {
-            AttemptLimit::Estimate
-        } else {
-            AttemptLimit::Deadline
-        }
-    })
-}
-
-/// Waits until this instance believes that it reaches no upstream. During a planned stop the
-/// belief ends no request: if it is wrong, the upstream's answer is lost.
-async fn lost_links<P: Platform>(gateway: &Gateway<P>) {
-    gateway.contact.cut_off().await;
-    if gateway.is_stopping() {
-        std::future::pending::<()>().await;
-    }
-}
-
-/// When an attempt that began at `sent_at` times out.
-#[must_use]
-pub fn attempt_deadline(call: &Call, expected_ms: f64, sent_at: Instant) -> Instant {
-    if !call.route.is_idempotent {
-        return call.deadline;
-    }
-    let timeout = Duration::from_secs_f64(ATTEMPT_TIMEOUT_FACTOR * expected_ms / 1_000.0)
-        + ATTEMPT_TIMEOUT_MARGIN;
-    call.deadline.min(sent_at + timeout)
+    on_overdue(gateway, call, sent, cause);
+    attempt.set_overdue();
+    exchange.await.ok()
 }
 
 fn upstream_request(names: &HeaderNames, call: &Call, upstream: &str) -> HttpRequest {
@@ -344,18 +307,48 @@
     record_failure(gateway, call, client, Evidence::Failed, began, error);
 }
 
+/// Records that a response is overdue; the upstream may still be at work on it.
+fn on_overdue<P: Platform>(gateway: &Gateway<P>, call: &Call, sent: &Sent, cause: OverdueCause) {
+    gateway.metrics.on_overdue(cause.into());
+    let is_ejected = gateway.on_upstream_failure(sent.client, Evidence::Overdue, sent.sent_at);
+    if is_ejected {
+        gateway.metrics.ejections.inc();
+    }
+    if gateway.log_budget.take() {
+        tracing::info!(
+            request = call.id_text(),
+            upstream = %sent.client.id,
+            %cause,
+            waited_ms = to_ms(sent.sent_at.elapsed()),
+            left_ms = call.left_ms(),
+            is_ejected,
+            stopping_for_ms = gateway.stopping_for_ms(),
+            "response overdue; waiting on"
+        );
+    }
+}
+
 fn on_timeout<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
-    client: &UpstreamClient,
-    sent_at: Instant,
-    limit: AttemptLimit,
+    sent: &Sent<'_>,
+    attempt: &Attempt<'_>,
 ) {
-    gateway.metrics.on_given_up(limit.into());
-    let silent_ms = to_ms(sent_at.elapsed());
-    let left_ms = call.left_ms();
-    let what = format!("no response for {silent_ms} ms, limit {limit}, {left_ms} ms left");
-    record_failure(gateway, call, client, Evidence::Failed, sent_at, &what);
+    let silent_ms = to_ms(sent.sent_at.elapsed());
+    let what = format_args!("no response for {silent_ms} ms, until the deadline").to_string();
+    if attempt.is_overdue() {
+        // It has counted towards the ejection already.
+        record_evidence(gateway, call, sent.client, Evidence::Overdue, false, &what);
+        return;
+    }
+    record_failure(
+        gateway,
+        call,
+        sent.client,
+        Evidence::Failed,
+        sent.sent_at,
+        &what,
+    );
 }
 
 /// Records an attempt without an answer.
@@ -386,6 +379,7 @@
     gateway.metrics.on_send(match evidence {
         Evidence::Served => "served",
         Evidence::Failed => "failed",
+        Evidence::Overdue => "overdue",
         Evidence::Shed => "shed",
         Evidence::TurnedAway => "turned-away",
         Evidence::Unreachable => "misdirected",
--- a/tests/decision.rs
+++ b/tests/decision.rs
@@ -394,6 +394,23 @@
     expect_that!(budget.acquire_up_to(&service, limit, 3, 20_000), ge(1));
 }
 
+// Guards against a service that turns slow as a whole being left without an upstream.
+#[gtest]
+fn an_upstream_whose_responses_are_late_is_a_last_resort() {
+    let mut late = EjectionState::default();
+    late.on_evidence(Evidence::Overdue, 0);
+    late.on_evidence(Evidence::Overdue, 10);
+    let mut failed = late.clone();
+    failed.on_evidence(Evidence::Failed, 20);
+
+    expect_that!(late.is_usable(20), eq(false));
+    expect_that!(late.is_last_resort(20), eq(true));
+    expect_that!(failed.is_last_resort(20), eq(false));
+
+    late.on_evidence(Evidence::Served, 30);
+    expect_that!(late.is_usable(30), eq(true));
+}
+
 #[gtest]
 fn two_failures_eject_and_successful_trial_restores() {
     let mut ejection = EjectionState::default();
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -23,7 +23,7 @@
 
 /// Work of an upstream that is slower than expected: a response is expected after 175 ms, and
 /// overdue after 725 ms, with 100 ms more for one of another instance.
-const SLOW: Duration = Duration::from_millis(1_000);
+const SLOW: Duration = Duration::from_secs(1);
 const FAST: Duration = Duration::from_millis(20);
 /// Deadline of the requests, in milliseconds.
 const TIMEOUT_MS: u64 = 3_000;
