A handed request keeps its caller's deadline at the receiver

Cause: the receiver took the time in transit off the deadline. That time is estimated from the receiver's clock in its offer and includes the way back of the offer and the sender's own delays, up to 250 ms. A request that may run once was broken off that much before its deadline, or by its upstream, which got the same deadline. Class: a guess of this project ends work. Change: the time left is taken as it was sent; the sender ends the request at its deadline, by dropping the call. Evidence: the_deadline_of_a_handed_request_is_that_of_its_caller got 504 after 800 ms before (work 900 ms, deadline 1,000 ms), 200 now.

--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -104,7 +104,7 @@
     let held_ms = handed.held_ms + transit_ms;
     let service = Arc::clone(&handed.service);
     let mut history = handed.history.clone();
-    let call = match read(gateway, handed, transit_ms) {
+    let call = match read(gateway, handed) {
         Ok(call) => call,
         Err(answer) => return answer,
     };
@@ -141,11 +141,7 @@
 }
 
 /// Finds the request's route in the version that this instance knows.
-fn read<P: Platform>(
-    gateway: &Gateway<P>,
-    handed: HandedRequest,
-    transit_ms: u64,
-) -> Result<Call, HandedAnswer> {
+fn read<P: Platform>(gateway: &Gateway<P>, handed: HandedRequest) -> Result<Call, HandedAnswer> {
     let Some(manifest) = gateway.manifest().filter(|_| gateway.knows_fleet_state()) else {
         let why = "no version of the routes is known";
         return Err(not_taken(why, NEVER_RETRY_AFTER_MS));
@@ -167,7 +163,9 @@
         return Err(not_taken("no memory for the body", FULL_RETRY_AFTER_MS));
     }
     let now = Instant::now();
-    let left = Duration::from_millis(handed.left_ms.saturating_sub(transit_ms));
+    // Not less the time in transit, which is estimated: the other instance ends the request at
+    // its deadline.
+    let left = Duration::from_millis(handed.left_ms);
     Ok(Call {
         id: handed.id.and_then(|id| HeaderValue::from_bytes(&id).ok()),
         method,
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -8,9 +8,11 @@
 
 use chicorywing::decision::directory::UpstreamState;
 use chicorywing::decision::manifest::Route;
+use chicorywing::gateway::handed::{AttemptHistory, HandedAnswer, HandedEnd, HandedRequest};
 use chicorywing::gateway::run::drain_and_stop;
 use chicorywing::gateway::server::{CallerCounts, serve_callers};
 use chicorywing::gateway::state::Gateway;
+use chicorywing::gateway::taken;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -18,7 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::fake::{FakePlatform, FakeStore, gateway, manifest, report, route, within};
+use super::fake::{FakePlatform, FakeStore, SERVICE, gateway, manifest, report, route, within};
 use super::upstream::{Behaviour, FakeUpstream};
 
 /// Moments after the stop signal at which requests end, up to the stop limit of 6 s.
@@ -403,3 +405,52 @@
 
     expect_that!(began.elapsed(), lt(Duration::from_secs(6)));
 }
+
+/// A request of another instance, which has arrived after `transit_ms` by this one's clock.
+fn handed(gateway: &Gateway<FakePlatform>, left_ms: u64, transit_ms: u64) -> HandedRequest {
+    HandedRequest {
+        id: Some(b"handed".to_vec()),
+        method: "POST".to_owned(),
+        host: "once.example".to_owned(),
+        target: "/x".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        service: SERVICE.into(),
+        held_ms: 0,
+        left_ms,
+        sent_ms: gateway.now_ms().saturating_sub(transit_ms),
+        history: AttemptHistory::default(),
+    }
+}
+
+// Guards against a request of another instance that ends before its deadline, by the time that
+// it seems to have been on its way.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_deadline_of_a_handed_request_is_that_of_its_caller() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::from_millis(900))).await;
+    let once = Route {
+        host: "once.example".into(),
+        is_idempotent: false,
+        ..route()
+    };
+    let process = StoppingProcess::start(&[&upstream], &[once]).await;
+    within(RESPONSE_TIMEOUT, "its clock shows the transit", || {
+        process.gateway.now_ms() > 200
+    })
+    .await;
+
+    let answer = taken::run(&process.gateway, handed(&process.gateway, 1_000, 200)).await;
+
+    let HandedAnswer::Ended { end, .. } = answer else {
+        panic!("{answer:?}");
+    };
+    expect_that!(
+        end,
+        matches_pattern!(HandedEnd::Response {
+            status: eq(&200),
+            ..
+        })
+    );
+    process.runtime.shutdown_background();
+}
