A planned stop waits for its callers after it has waited for others' requests

Cause: drain_and_stop first waited for requests of other instances, then for its own callers while less than 300 ms had passed since that wait began. After a longer wait it ended at once, with callers' requests in flight. Change: one loop looks at all that is at work.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -239,18 +239,18 @@
     let end_at = after(stop.end_ms);
     sleep_until(after(stop.accept_until_ms)).await;
     close.send_replace(true);
+    let is_at_work =
+        || gateway.taken.running() > 0 || callers.in_flight() > 0 || callers.unwritten() > 0;
     let finish = async {
         // Connections that are still to be accepted do not count yet.
         sleep(MAX_BACKLOG_TIME).await;
         let mut idle_since = Instant::now();
-        while gateway.taken.running() > 0 {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        while callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME {
-            sleep(DRAIN_POLL_INTERVAL).await;
-            if callers.in_flight() > 0 || callers.unwritten() > 0 {
+        while is_at_work() || (callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME)
+        {
+            if is_at_work() {
                 idle_since = Instant::now();
             }
+            sleep(DRAIN_POLL_INTERVAL).await;
         }
         sleep(FLUSH_TIME).await;
     };
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -423,6 +423,47 @@
     }
 }
 
+// Guards against callers' requests that are cut, since the stop has first waited for a request of
+// another instance.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_its_callers_after_requests_of_others() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(Duration::from_secs(4))).await;
+    let long = Route {
+        name: "once".into(),
+        host: "once.example".into(),
+        timeout_ms: 5_000,
+        ..route()
+    };
+    let short = Route {
+        timeout_ms: 3_000,
+        ..route()
+    };
+    let process = StoppingProcess::start(&[&upstream], &[short, long]).await;
+    let address = process.address;
+    let (gateway, request) = (
+        Arc::clone(&process.gateway),
+        handed(&process.gateway, 5_000, 0),
+    );
+    process
+        .runtime
+        .spawn(async move { taken::run(&gateway, request).await });
+    within(RESPONSE_TIMEOUT, "it runs another's request", || {
+        upstream.runs().len() == 1
+    })
+    .await;
+    upstream.set_behaviour(Behaviour::Serve(Duration::from_secs(2)));
+    let start = Arc::new(Start::default());
+    let at = Duration::from_millis(2_500);
+    let request = tokio::spawn(send(address, Kind::Opened, true, at, Arc::clone(&start)));
+
+    sleep_until(start.set(1).await).await;
+    process.stop().await;
+
+    let sent = request.await.unwrap();
+    expect_that!(sent.response, starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a request of another instance that ends before its deadline, by the time that
 // it seems to have been on its way.
 #[gtest]
