A stopping process looks once more before it ends, and lets nothing begin meanwhile

Cause: after its last look for requests, drain_and_stop slept for 60 ms and ended. A request whose head was completed in that time, or after the last poll, was read, passed on and cut, since requests may begin until the end of the stop limit, which is up to 2.5 s later. Change: when the process is idle, nothing may begin any more (503, not run); it then looks again, and ends when nothing is at work and all is written.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -244,15 +244,16 @@
     let finish = async {
         // Connections that are still to be accepted do not count yet.
         sleep(MAX_BACKLOG_TIME).await;
-        let mut idle_since = Instant::now();
-        while is_at_work() || (callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME)
-        {
-            if is_at_work() {
-                idle_since = Instant::now();
-            }
+        wait_until_idle(callers, is_at_work).await;
+        // What comes from now on is refused, so that the process ends under no request.
+        gateway.end_requests();
+        sleep(FLUSH_TIME).await;
+        while is_at_work() {
             sleep(DRAIN_POLL_INTERVAL).await;
+            if !is_at_work() {
+                sleep(FLUSH_TIME).await;
+            }
         }
-        sleep(FLUSH_TIME).await;
     };
     let is_finished = timeout_at(end_at, finish).await.is_ok();
     tracing::info!(
@@ -262,3 +263,14 @@
         "stopped"
     );
 }
+
+/// Waits until nothing is at work and callers have no connections, or have used none for a while.
+async fn wait_until_idle(callers: &CallerCounts, is_at_work: impl Fn() -> bool) {
+    let mut idle_since = Instant::now();
+    while is_at_work() || (callers.connections() > 0 && idle_since.elapsed() < DRAIN_IDLE_TIME) {
+        if is_at_work() {
+            idle_since = Instant::now();
+        }
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -411,6 +411,16 @@
         stop
     }
 
+    /// Lets no request begin any more, as the process is about to end.
+    pub fn end_requests(&self) {
+        let now_ms = self.now_ms();
+        self.stopping.send_modify(|stop| {
+            if let Some(stop) = stop {
+                stop.end_ms = stop.end_ms.min(now_ms);
+            }
+        });
+    }
+
     /// Whether the planned stop has started.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -13,6 +13,7 @@
 use chicorywing::gateway::server::{CallerCounts, serve_callers};
 use chicorywing::gateway::state::Gateway;
 use chicorywing::gateway::taken;
+use futures::future::join_all;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -43,6 +44,13 @@
 /// Time after which such a caller begins to read, within the stop limit of 6 s.
 const READING_DELAY: Duration = Duration::from_millis(4_500);
 
+/// When a connection is opened after which nothing else comes: just before the listener closes.
+const LAST_CONNECTION: Duration = Duration::from_millis(2_600);
+/// Distance between two moments around the end of the process.
+const LAST_STEP: Duration = Duration::from_millis(10);
+/// Work of the last request, which outlasts the process if that ends without it.
+const LAST_WORK: Duration = Duration::from_millis(300);
+
 /// How a request is on its way when the stop begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 enum Kind {
@@ -464,6 +472,45 @@
     expect_that!(sent.response, starts_with("HTTP/1.1 200"));
 }
 
+/// Sends half a head 2.6 s after the begin of a stop, and the rest at `at`; returns whether what
+/// ran has a whole answer.
+async fn is_answered_if_it_runs(at: Duration) -> bool {
+    let upstream = FakeUpstream::start("up-1", Behaviour::Serve(LAST_WORK)).await;
+    let process = StoppingProcess::start(&[&upstream], &[route()]).await;
+    let address = process.address;
+    let request = async move {
+        let began = Instant::now();
+        sleep_until(began + LAST_CONNECTION).await;
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let (first, rest) = parts(Kind::LateHead, "h.example", "last");
+        stream.write_all(first.as_bytes()).await.unwrap();
+        sleep_until(began + at).await;
+        // The process may have ended.
+        let _ = stream.write_all(rest.as_bytes()).await;
+        read_response(&mut stream).await
+    };
+    let request = tokio::spawn(request);
+    process.stop().await;
+    let response = request.await.unwrap();
+    upstream.runs().is_empty() || is_complete(&response)
+}
+
+// Guards against a request that is passed on between the last look for requests and the end of
+// the process.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_comes_as_the_process_ends_is_answered_if_it_runs() {
+    let mut moments = Vec::new();
+    for step in 0..30 {
+        let at = LAST_CONNECTION + Duration::from_millis(400) + LAST_STEP * step;
+        moments.push(async move { (at, is_answered_if_it_runs(at).await) });
+    }
+
+    for (at, is_answered) in join_all(moments).await {
+        expect_that!(is_answered, eq(true), "{at:?}");
+    }
+}
+
 // Guards against a request of another instance that ends before its deadline, by the time that
 // it seems to have been on its way.
 #[gtest]
