An overdue response does not restore its upstream

Cause, suspected: a response that comes after its attempt was overdue counted as served, which ended the ejection of a slow upstream. Change: it counts once, when it becomes overdue. So the suspicion holds. an_overdue_response_counts_as_one_failure_of_its_upstream failed before.

--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -141,7 +141,7 @@
         Some(Ok(response)) => {
             let asks_silence = note_statements(gateway, &client, &response, sent_at);
             crash_evidence::on_answer(gateway, call, &response);
-            let sent = classify_response(gateway, call, &client, response, asks_silence);
+            let sent = classify_response(gateway, call, &client, response, asks_silence, attempt);
             if let Some(id) = &call.id {
                 if matches!(sent, SendOutcome::NotRun) {
                     connection.note_refusal(id);
@@ -235,7 +235,7 @@
 }
 
 /// Decides whether a response shows that the request ran, and records it in the
-/// upstream's ejection state.
+/// upstream's ejection state, unless it was overdue: then it has counted already.
 ///
 /// Only the header for it, or status 421, shows that the request did not run; a failure with
 /// another status that tells callers so is not passed on.
@@ -245,6 +245,7 @@
     client: &UpstreamClient,
     response: HttpResponse,
     asks_silence: bool,
+    attempt: &Attempt<'_>,
 ) -> SendOutcome {
     let names = gateway.platform.headers();
     let is_misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
@@ -278,7 +279,8 @@
             "may have run it, though the status says otherwise",
         ),
     };
-    let is_ejected = client.ejection().on_evidence(evidence, gateway.now_ms());
+    let is_ejected =
+        !attempt.is_overdue() && client.ejection().on_evidence(evidence, gateway.now_ms());
     gateway.on_upstream_answer(&client.id);
     record_evidence(
         gateway,
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -149,6 +149,27 @@
     expect_that!(slow.disconnects(), eq(0));
 }
 
+// Guards against a slow upstream that is preferred again, since its late response counts as if it
+// had come in time.
+#[gtest]
+#[tokio::test]
+async fn an_overdue_response_counts_as_one_failure_of_its_upstream() {
+    let slow = FakeUpstream::start("up-1", Behaviour::Serve(SLOW)).await;
+    let route = slow_route(1);
+    let gateway = gateway_of(&[&slow], &route);
+
+    for _ in 0..2 {
+        let outcome = forward(&gateway, &call(&route, "body")).await;
+        expect_that!(outcome.status().as_u16(), eq(200));
+    }
+
+    let report = report(&slow.id, slow.address, UpstreamState::Ready);
+    let client = gateway.upstream_clients.get(&report);
+    let ejection = client.ejection().clone();
+    expect_that!(ejection.needs_trial(), eq(true));
+    expect_that!(ejection.is_last_resort(gateway.now_ms()), eq(true));
+}
+
 // Guards against attempts beside others beyond the attempts of the route.
 #[gtest]
 #[tokio::test]
