--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,6 @@
 use super::attempts::{Attempt, Attempts};
 use super::calls::Call;
 use super::hand_over;
-use super::handed::AttemptHistory;
 use super::limited_choice::{self, Chosen};
 use super::outcome::{Outcome, Reason};
 use super::probing::{ProbedUpstream, describe, probe_candidates, take_best};
@@ -113,15 +112,18 @@
             }
             continue;
         }
+        let history = attempts.history();
         let outcome = match end {
-            AttemptEnd::Final(outcome) => return outcome,
+            AttemptEnd::Final(outcome) => return history.correct(outcome),
             AttemptEnd::Refused(refusal) => {
-                return last_response
-                    .unwrap_or_else(|| attempts.history().correct_refusal(refusal));
+                return last_response.unwrap_or_else(|| history.correct(refusal));
             }
-            AttemptEnd::Ended(outcome) => outcome,
+            AttemptEnd::Ended(outcome @ Outcome::Answered(_)) => outcome,
+            AttemptEnd::Ended(outcome) => last_response
+                .take()
+                .unwrap_or_else(|| history.correct(outcome)),
         };
-        let may_retry = call.route.is_idempotent || !attempts.history().may_have_run;
+        let may_retry = call.route.is_idempotent || !history.may_have_run;
         if !may_retry || !take_retry(gateway, call, &service, &attempts) {
             return outcome;
         }
@@ -156,25 +158,21 @@
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    history: &mut AttemptHistory,
+    attempts: &Attempts,
 ) -> Option<Outcome> {
-    let attempts = Attempts::after(history.clone());
     let mut attempt = attempts.begin();
-    let outcome = loop {
+    loop {
         match try_once(gateway, call, service, &mut attempt, true).await {
             TryEnd::Attempt(
                 AttemptEnd::Final(outcome)
                 | AttemptEnd::Ended(outcome)
                 | AttemptEnd::Refused(outcome),
-            ) => break Some(outcome),
-            TryEnd::NoContact => break None,
-            TryEnd::Unsent if has_unsent_left(&attempts) => {}
-            TryEnd::Unsent => break Some(not_run(gateway, call, service, &attempts)),
+            ) => return Some(outcome),
+            TryEnd::NoContact => return None,
+            TryEnd::Unsent if has_unsent_left(attempts) => {}
+            TryEnd::Unsent => return Some(not_run(gateway, call, service, attempts)),
         }
-    };
-    drop(attempt);
-    *history = attempts.history();
-    outcome
+    }
 }
 
 /// Makes one attempt, at an upstream or, while none answers this instance, at another instance.
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
-use super::attempts::{Attempt, overdue, overdue_at};
+use super::attempts::{Attempt, Attempts, overdue, overdue_at};
 use super::calls::{BodyReservation, Call};
 use super::forward::{AttemptEnd, TryEnd};
 use super::handed::{
@@ -14,7 +14,7 @@
 };
 use super::offers::{Declined, KnownOffer, ask_once};
 use super::outcome::{Outcome, Reason};
-use super::peer_client::HandError;
+use super::peer_client::{HandError, PeerClient};
 use super::state::Gateway;
 use super::store::Platform;
 
@@ -36,6 +36,8 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(180);
 /// Added to the time after which an attempt is overdue, for the receiver's probes and the hop.
 const HOP_MARGIN: Duration = Duration::from_millis(100);
+/// Time in which a receiver must say to which upstreams it has sent a request.
+const UPSTREAMS_TIMEOUT: Duration = Duration::from_millis(60);
 /// Retry delay for callers refused because nobody takes requests; links that flap are
 /// back after a few hundred milliseconds.
 const NOBODY_RETRY_AFTER_MS: u64 = 250;
@@ -245,10 +247,31 @@
         () = overdue(overdue_at) => {}
     }
     on_overdue(gateway, call, known);
+    tokio::select! {
+        end = &mut end => return end,
+        () = learn_upstreams(&client, call, attempt.all()) => {}
+    }
     attempt.set_overdue();
     end.await
 }
 
+/// Asks another instance to which upstreams it has sent the request, so that the next attempt
+/// goes elsewhere.
+async fn learn_upstreams(client: &PeerClient, call: &Call, attempts: &Attempts) {
+    let Some(id) = &call.id else {
+        return;
+    };
+    let asked = client.upstreams_of(id.as_bytes().to_vec());
+    match timeout(UPSTREAMS_TIMEOUT, asked).await {
+        Ok(Ok(upstreams)) => attempts.update_history(|history| history.add_tried(upstreams)),
+        Ok(Err(error)) => {
+            let to = client.address();
+            tracing::debug!(%to, %error, "not known where a handed request runs");
+        }
+        Err(_) => {}
+    }
+}
+
 /// Records that an answer of another instance is overdue; the request may be at work there.
 fn on_overdue<P: Platform>(gateway: &Gateway<P>, call: &Call, known: &KnownOffer) {
     gateway.metrics.on_handed("overdue");
--- a/src/gateway/handed.rs
+++ b/src/gateway/handed.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::calls::to_ms;
-use super::outcome::{Outcome, Reason, RunResponse};
+use super::outcome::{Outcome, Reason, RunResponse, says_not_run};
 use crate::connection::exchange::HttpResponse;
 use crate::connection::response_memory::{ResponseMemory, ResponseReservation};
 
@@ -116,13 +116,28 @@
 impl AttemptHistory {
     /// Adds what another instance did with a request that it got with the history `before`.
     pub fn add(&mut self, before: &Self, after: Self) {
-        for id in after.tried {
+        self.add_tried(after.tried);
+        self.sends += after.sends.saturating_sub(before.sends);
+        self.may_have_run |= after.may_have_run;
+    }
+
+    /// Adds upstreams that were tried.
+    pub fn add_tried(&mut self, upstreams: Vec<Arc<str>>) {
+        for id in upstreams {
             if !self.tried.contains(&id) {
                 self.tried.push(id);
             }
         }
-        self.sends += after.sends.saturating_sub(before.sends);
-        self.may_have_run |= after.may_have_run;
+    }
+
+    /// Replaces an outcome that tells the caller that the request did not run, once an attempt
+    /// may have run it.
+    #[must_use]
+    pub fn correct(&self, outcome: Outcome) -> Outcome {
+        if says_not_run(outcome.status()) {
+            return self.correct_refusal(outcome);
+        }
+        outcome
     }
 
     /// Replaces a refusal, which tells the caller that the request did not run,
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -1,6 +1,7 @@
 //! Client of the RPC between instances.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use prometheus_client::metrics::counter::Counter;
@@ -406,6 +407,16 @@
         }
     }
 
+    /// Upstreams that a request with this id was sent to, if the peer runs it for this instance.
+    ///
+    /// # Errors
+    /// Returns an error if the call fails or the response does not arrive in time.
+    pub async fn upstreams_of(&self, id: Vec<u8>) -> Result<Vec<Arc<str>>, RelayError> {
+        self.require("upstreams_of")?;
+        let request = self.client.upstreams_of(context::current(), id);
+        response_within(RESPONSE_TIMEOUT, request).await
+    }
+
     /// Gives a permit back.
     ///
     /// # Errors
--- a/src/gateway/probing.rs
+++ b/src/gateway/probing.rs
@@ -112,9 +112,9 @@
         let client = gateway.upstream_clients.get(&upstream.report);
         client.ejection().clone()
     };
-    let has_usable = eligible
-        .iter()
-        .any(|upstream| ejection_of(upstream).is_usable(now_ms));
+    let has_usable = eligible.iter().any(|upstream| {
+        !tried.contains(&upstream.report.id) && ejection_of(upstream).is_usable(now_ms)
+    });
     for upstream in eligible {
         let client = gateway.upstream_clients.get(&upstream.report);
         let failure_share = {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -155,6 +155,10 @@
 
     /// Returns a long value that this instance was told before; waits up to `wait_ms` for it.
     async fn long_value(id: ValueId, wait_ms: u64) -> Option<PackedValue>;
+
+    /// Returns the upstreams that a request with this id was sent to, if this instance runs it
+    /// for another one.
+    async fn upstreams_of(id: Vec<u8>) -> Vec<Arc<str>>;
 }
 
 /// Answers the calls of other instances.
@@ -295,6 +299,10 @@
     ) -> Option<PackedValue> {
         kept_value(&self.gateway, &id, Duration::from_millis(wait_ms)).await
     }
+
+    async fn upstreams_of(self, _: context::Context, id: Vec<u8>) -> Vec<Arc<str>> {
+        self.gateway.taken.upstreams_of(&id)
+    }
 }
 
 impl RecordsResponse {
--- a/src/gateway/taken.rs
+++ b/src/gateway/taken.rs
@@ -1,13 +1,15 @@
 //! Runs requests that other instances hand over.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderValue, Method};
 use tokio::time::Instant;
 
+use super::attempts::Attempts;
 use super::calls::{BodyReservation, Call};
 use super::forward::forward_taken;
 use super::handed::{HandedAnswer, HandedEnd, HandedRequest, Offer, decode_headers};
@@ -31,10 +33,12 @@
 /// Time for that check, well within the time for an offer.
 const CHECK_WAIT: Duration = Duration::from_millis(60);
 
-/// Counts the requests that this instance runs for others.
+/// The requests that this instance runs for others.
 #[derive(Debug, Default)]
 pub struct TakenState {
     running: AtomicUsize,
+    /// Attempts of those that have an id.
+    attempts: Mutex<HashMap<Vec<u8>, Arc<Attempts>>>,
 }
 
 impl TakenState {
@@ -43,6 +47,50 @@
     pub fn running(&self) -> usize {
         self.running.load(Ordering::Relaxed)
     }
+
+    /// Upstreams that a running request with this id was sent to.
+    #[must_use]
+    pub fn upstreams_of(&self, id: &[u8]) -> Vec<Arc<str>> {
+        let attempts = self.lock_attempts().get(id).map(Arc::clone);
+        attempts.map_or_else(Vec::new, |attempts| attempts.history().tried)
+    }
+
+    fn lock_attempts(&self) -> MutexGuard<'_, HashMap<Vec<u8>, Arc<Attempts>>> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Makes the attempts of a taken request known by its id until it is dropped.
+struct KnownAttempts<'t> {
+    taken: &'t TakenState,
+    id: Vec<u8>,
+    attempts: Arc<Attempts>,
+}
+
+impl<'t> KnownAttempts<'t> {
+    fn new(taken: &'t TakenState, id: Vec<u8>, attempts: Arc<Attempts>) -> Self {
+        taken
+            .lock_attempts()
+            .insert(id.clone(), Arc::clone(&attempts));
+        Self {
+            taken,
+            id,
+            attempts,
+        }
+    }
+}
+
+impl Drop for KnownAttempts<'_> {
+    fn drop(&mut self) {
+        let mut known = self.taken.lock_attempts();
+        // A later copy of the request may have taken the place.
+        let is_known = known
+            .get(&self.id)
+            .is_some_and(|known| Arc::ptr_eq(known, &self.attempts));
+        if is_known {
+            known.remove(&self.id);
+        }
+    }
 }
 
 /// Counts a taken request until it is dropped.
@@ -103,7 +151,9 @@
     let transit_ms = now_ms.saturating_sub(handed.sent_ms);
     let held_ms = handed.held_ms + transit_ms;
     let service = Arc::clone(&handed.service);
-    let mut history = handed.history.clone();
+    let attempts = Arc::new(Attempts::after(handed.history.clone()));
+    let known = handed.id.clone();
+    let _known = known.map(|id| KnownAttempts::new(&gateway.taken, id, Arc::clone(&attempts)));
     let call = match read(gateway, handed) {
         Ok(call) => call,
         Err(answer) => return answer,
@@ -117,14 +167,15 @@
             transit_ms,
             held_ms,
             left_ms = call.left_ms(),
-            sends = history.sends,
+            sends = attempts.sends(),
             running,
             "request taken from another instance"
         );
     }
-    let Some(outcome) = forward_taken(gateway, &call, &service, &mut history).await else {
+    let Some(outcome) = forward_taken(gateway, &call, &service, &attempts).await else {
         return not_taken("no upstream answers it either", 1);
     };
+    let mut history = attempts.history();
     // Its instance may not get the response, or may know the route as another kind.
     history.may_have_run |= matches!(outcome, Outcome::Answered(_));
     HandedAnswer::Ended {
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use chicorywing::decision::directory::UpstreamState;
+use chicorywing::decision::ejection::Evidence;
 use chicorywing::decision::manifest::Route;
 use chicorywing::gateway::forward::forward;
 use chicorywing::gateway::outcome::Outcome;
@@ -33,6 +34,7 @@
 const ENDLESS: Duration = Duration::from_millis(2 * TIMEOUT_MS);
 /// Load of an upstream that is not chosen while another has room.
 const BUSY: &str = "1,0,2,300";
+const IDLE: &str = "0,0,2,100";
 /// Time for which a service that has turned slow is watched.
 const SLOW_TIME: Duration = Duration::from_secs(6);
 
@@ -294,3 +296,98 @@
     expect_that!(metrics, not(contains_substring("handed_total{")));
     expect_that!(gateway.contact.is_cut_off(), eq(false));
 }
+
+// Guards against the next attempt of a handed request going to the upstream at which the first
+// one is overdue.
+#[gtest]
+#[tokio::test]
+async fn the_next_attempt_of_a_handed_request_goes_to_another_upstream() {
+    let fleet = Fleet::start(2).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_behaviour(Behaviour::Serve(FAST));
+        upstream.set_load(BUSY);
+    }
+    let hung = &fleet.upstreams[0];
+    hung.set_behaviour(Behaviour::Hang);
+    hung.set_load(IDLE);
+    let before = hung.runs().len();
+
+    let requests = [(); 2].map(|()| fleet.send(&slow_route(2)));
+
+    for outcome in join_all(requests).await {
+        expect_that!(outcome.unwrap().status().as_u16(), eq(200));
+    }
+    let mut ids = Vec::new();
+    for head in &hung.runs()[before..] {
+        let id = head.lines().find(|line| line.starts_with("t-id")).unwrap();
+        expect_that!(ids, not(contains(eq(&id))));
+        ids.push(id);
+    }
+}
+
+// Guards against a usable upstream that has been tried keeping those from use that are only late.
+#[gtest]
+#[tokio::test]
+async fn late_upstreams_are_a_last_resort_if_the_usable_one_has_been_tried() {
+    let hung = FakeUpstream::start("up-1", Behaviour::Hang).await;
+    let late = FakeUpstream::start("up-2", Behaviour::Serve(FAST)).await;
+    let route = slow_route(2);
+    let gateway = gateway_of(&[&hung, &late], &route);
+    let report = report(&late.id, late.address, UpstreamState::Ready);
+    let client = gateway.upstream_clients.get(&report);
+    for _ in 0..2 {
+        let now_ms = gateway.now_ms();
+        client.ejection().on_evidence(Evidence::Overdue, now_ms);
+    }
+
+    let outcome = forward(&gateway, &call(&route, "body")).await;
+
+    expect_that!(outcome.status().as_u16(), eq(200));
+}
+
+// Guards against the whole response of an upstream being replaced by the gateway's own.
+#[gtest]
+#[tokio::test]
+async fn a_failure_response_is_passed_on_if_the_other_attempt_has_none() {
+    let hung = FakeUpstream::start("up-1", Behaviour::Hang).await;
+    let failing = FakeUpstream::start("up-2", Behaviour::Fail).await;
+    failing.set_load(BUSY);
+    let route = slow_route(2);
+    let gateway = gateway_of(&[&hung, &failing], &route);
+
+    let outcome = forward(&gateway, &call(&route, "body")).await;
+
+    expect_that!(outcome.status().as_u16(), eq(500));
+}
+
+// Guards against a refusal of a request that has run: its first attempt failed after the second
+// one had been handed over.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_has_run_beside_a_refused_attempt_is_not_refused() {
+    let mut fleet = Fleet::start(2).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_behaviour(Behaviour::Hang);
+    }
+    let before = runs(&fleet.upstreams);
+    let request = fleet.send(&slow_route(2));
+    within(SLOW, "it runs", || runs(&fleet.upstreams) > before).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_behaviour(Behaviour::Shed);
+        upstream.set_probe_delay(Duration::from_millis(50));
+    }
+    let is_taken = |fleet: &Fleet, number: usize| {
+        let taken = &fleet.instances[number].gateway.taken;
+        taken.running() > 0
+    };
+    let (first, second) = if is_taken(&fleet, 1) { (1, 2) } else { (2, 1) };
+    within(SLOW * 2, "the second takes it, too", || {
+        is_taken(&fleet, second)
+    })
+    .await;
+    drop(fleet.instances.remove(first));
+
+    let outcome = request.await.unwrap();
+
+    expect_that!(outcome.status().as_u16(), eq(502));
+}
--- a/tests/peer_format/samples.rs
+++ b/tests/peer_format/samples.rs
@@ -208,6 +208,9 @@
             id: value_id(),
             wait_ms: 700,
         },
+        RelayRequest::UpstreamsOf {
+            id: b"id-1".to_vec(),
+        },
     ]
 }
 
@@ -282,6 +285,10 @@
             "long_value",
             RelayResponse::LongValue(Some(packed_value(None))),
         ),
+        (
+            "upstreams_of",
+            RelayResponse::UpstreamsOf(vec!["i-1".into(), "i-2".into()]),
+        ),
         ("announce_reader", RelayResponse::AnnounceReader(())),
         ("report_suspects", RelayResponse::ReportSuspects(())),
         (
