--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -16,6 +16,7 @@
 use crate::env::TestEnv;
 use crate::ledger::{End, SentRequest};
 use crate::limits;
+use crate::slow_stops;
 use crate::wire;
 
 /// Deadline that a caller sends to the gateway, from the start of the request.
@@ -68,7 +69,9 @@
             let mut stream = BufReader::new(stream);
             for _ in 0..self.random.random_range(1..MAX_REQUESTS_PER_CONNECTION) {
                 let keeps_alive = self.send_request(gateway, &mut stream).await;
-                if !keeps_alive || self.env.is_stopping() {
+                let focus = slow_stops::focus(&self.env, self.number);
+                let is_elsewhere = !focus.is_empty() && !focus.contains(&gateway);
+                if !keeps_alive || is_elsewhere || self.env.is_stopping() {
                     break;
                 }
                 let pause_ms = self.random.random_range(cuts::pauses_ms(self.env.seed));
@@ -87,6 +90,10 @@
         {
             candidates.retain(|number| gateways[*number].is_in_rotation.load(Ordering::Relaxed));
         }
+        let focus = slow_stops::focus(&self.env, self.number);
+        if !focus.is_empty() {
+            candidates = focus;
+        }
         if let Some(entries) = limits::entries(self.env.seed) {
             candidates = entries.to_vec();
         }
@@ -102,6 +109,7 @@
             gateway,
             method: "GET",
             target: String::new(),
+            deadline_ms: slow_stops::deadline_ms(self.env.seed),
             sent_ms: now_ms,
             ended_ms: now_ms,
             end: End::WriteFailed,
@@ -134,6 +142,10 @@
         ]
         .choose(&mut self.random)
         .unwrap();
+        let (method, path) = match slow_stops::Play::of(self.env.seed) {
+            Some(_) if method == "GET" => (method, slow_stops::PATH),
+            _ => (method, path),
+        };
         let is_cancelled = self.random.random::<f64>() < CANCELLED_SHARE;
         let target = format!("{path}?{id}");
         let body = if method == "POST" {
@@ -141,11 +153,12 @@
         } else {
             String::new()
         };
+        let deadline_ms = slow_stops::deadline_ms(self.env.seed);
         let sent_ms = self.env.now_ms();
         let headers = [
             ("host", "soak.test"),
             ("x-request-id", id.as_str()),
-            ("x-deadline-ms", &DEADLINE_MS.to_string()),
+            ("x-deadline-ms", &deadline_ms.to_string()),
         ];
         let start_line = format!("{method} {target} HTTP/1.1");
         let written = wire::write(stream, &start_line, &headers, body.as_bytes()).await;
@@ -162,6 +175,7 @@
             gateway,
             method,
             target,
+            deadline_ms,
             sent_ms,
             ended_ms: self.env.now_ms(),
             end,
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use crate::caller::DEADLINE_MS;
 use crate::crashing;
 use crate::env::{Disturbance, SERVICES, TestEnv, Version};
 use crate::ledger::{End, Run, SentRequest};
@@ -132,7 +131,8 @@
             self.add_violation("request ran, but its caller got no answer", request, runs);
         }
         let took_ms = request.ended_ms - request.sent_ms;
-        let is_late = request.end == End::TimedOut || took_ms > DEADLINE_MS + ANSWER_TOLERANCE_MS;
+        let is_late =
+            request.end == End::TimedOut || took_ms > request.deadline_ms + ANSWER_TOLERANCE_MS;
         if is_late && self.is_undisturbed(request.gateway, request.sent_ms, request.ended_ms) {
             self.add_violation(
                 "no final answer within the deadline and its tolerance",
@@ -223,7 +223,7 @@
     fn check_targets(&mut self, env: &TestEnv, request: &SentRequest, runs: &[Run]) {
         for run in runs {
             // The request may have queued at the upstream for as long as its caller waits.
-            let arrived_ms = run.started_ms.saturating_sub(DEADLINE_MS);
+            let arrived_ms = run.started_ms.saturating_sub(request.deadline_ms);
             if !self.is_undisturbed(request.gateway, arrived_ms, run.started_ms) {
                 continue;
             }
--- a/tests/soak/crashing.rs
+++ b/tests/soak/crashing.rs
@@ -14,6 +14,7 @@
 use crate::env::TestEnv;
 use crate::faults;
 use crate::ledger::End;
+use crate::slow_stops;
 use crate::store::StoreMode;
 use crate::wire;
 
@@ -39,7 +40,8 @@
 /// Whether the seed plays such a request. Upstreams then have no proxy before them,
 /// since one would accept connections for an upstream that has ended.
 pub fn is_played(seed: u64) -> bool {
-    (301..=400).contains(&seed) || (seed > 100 && seed.is_multiple_of(2) && !cuts::is_played(seed))
+    let has_proxies = cuts::is_played(seed) || slow_stops::Play::of(seed).is_some();
+    (301..=400).contains(&seed) || (seed > 100 && seed.is_multiple_of(2) && !has_proxies)
 }
 
 /// How such requests are played without drawn faults, by hand.
--- a/tests/soak/cuts.rs
+++ b/tests/soak/cuts.rs
@@ -12,6 +12,7 @@
 use crate::balancer;
 use crate::caller::DEADLINE_MS;
 use crate::env::{DATA_CENTRES, TestEnv};
+use crate::gateway::Gateway;
 use crate::ledger::{End, SentRequest};
 use crate::proxy::ProxyMode;
 use crate::store::StoreMode;
@@ -209,6 +210,12 @@
     if let Err(error) = gateway.stop().await {
         env.record_violation(error);
     }
+    start(gateway).await;
+    env.end_disturbance(disturbance);
+}
+
+/// Starts a gateway that has ended and waits until it is ready.
+pub async fn start(gateway: &Gateway) {
     gateway.start(false).await;
     let ready = async {
         while !balancer::is_ready(gateway.ready_address).await {
@@ -217,7 +224,6 @@
     };
     // One that does not become ready is judged by what its callers get.
     let _ = timeout(READY_TIMEOUT, ready).await;
-    env.end_disturbance(disturbance);
 }
 
 /// First tries of callers in a time, at some gateways.
--- a/tests/soak/env.rs
+++ b/tests/soak/env.rs
@@ -18,6 +18,7 @@
 use crate::limits;
 use crate::owners::Owners;
 use crate::proxy::{Proxy, ProxyMode};
+use crate::slow_stops;
 use crate::store::{Store, StoreMode};
 use crate::upstream::{Fault, RunningUpstream, Said, UpstreamConfig};
 
@@ -95,6 +96,8 @@
     pub upstream_proxies: Vec<Proxy>,
     /// In plays that need to know gateways by their connections.
     pub owners: Option<Arc<Owners>>,
+    /// Gateways that most callers use, in plays of [`slow_stops`]; all gateways if it is empty.
+    pub focus: Mutex<Vec<usize>>,
     pub size: Size,
     pub seed: u64,
     started: Instant,
@@ -162,7 +165,8 @@
             }
             gateways.push(gateway);
         }
-        let owners = cuts::is_played(seed).then(|| Owners::of(&gateways));
+        let has_cuts = cuts::is_played(seed) || slow_stops::has_cuts(seed);
+        let owners = has_cuts.then(|| Owners::of(&gateways));
         let mut upstream_proxies = Vec::new();
         for position in 0..size.upstreams() {
             let from = SocketAddr::from((host, port(UPSTREAM_PROXY_PORT, position)));
@@ -177,6 +181,7 @@
             upstreams: tokio::sync::Mutex::default(),
             upstream_proxies,
             owners,
+            focus: Mutex::default(),
             size,
             seed,
             started: Instant::now(),
@@ -232,14 +237,14 @@
             accepted_ms: self.now_ms(),
         };
         versions.push(version);
-        let manifest = manifest::of(version).to_string();
+        let manifest = manifest::of(version, self.seed).to_string();
         self.store.put("keyed.op", "config", manifest.as_bytes());
     }
 
     /// Writes what is in force again, as operators do after the store has lost records.
     pub fn write_again(&self) {
         if let Some(version) = self.versions().last() {
-            let manifest = manifest::of(*version).to_string();
+            let manifest = manifest::of(*version, self.seed).to_string();
             self.store.put("keyed.op", "config", manifest.as_bytes());
         }
         let evacuations = self.evacuations().clone();
--- a/tests/soak/env/manifest.rs
+++ b/tests/soak/env/manifest.rs
@@ -1,8 +1,9 @@
 //! The configuration that operators write.
 
 use super::{SERVICES, Version};
+use crate::slow_stops;
 
-pub fn of(version: Version) -> serde_json::Value {
+pub fn of(version: Version, seed: u64) -> serde_json::Value {
     let [bins, bookings] = SERVICES;
     let mut routes = serde_json::Map::new();
     let mut add = |name: &str, kind: &str, service: &str, attempts: u32| {
@@ -19,6 +20,11 @@
     for number in 3..=version.number {
         add(&format!("new-{number}"), "safe", bins, 3);
     }
+    if slow_stops::Play::of(seed).is_some() {
+        let name = slow_stops::ROUTE;
+        add(name, "safe", bins, 3);
+        routes[name]["timeout"] = format!("{}ms", slow_stops::TIMEOUT_MS).into();
+    }
     let service = serde_json::json!({
         "health-path": "/healthz", "max-conns": 220, "protocol": "h1", "tls": false,
         "warmup": "3s", "warmup-per-s": 4,
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -41,6 +41,7 @@
     Out,
     /// All later starts.
     Back,
+    All,
 }
 
 impl Builds {
@@ -51,6 +52,7 @@
             Self::Alternate => is_odd_pair == starts.is_multiple_of(2),
             Self::Out => starts == 0,
             Self::Back => starts > 0,
+            Self::All => true,
         }
     }
 }
@@ -64,7 +66,7 @@
     let builds = std::env::var("SOAK_BUILDS").unwrap_or_else(|_| "half".to_owned());
     let builds: Builds = builds
         .parse()
-        .expect("SOAK_BUILDS is one of half, alternate, out and back");
+        .expect("SOAK_BUILDS is one of half, alternate, out, back and all");
     if builds.is_older(number, starts) {
         older_build.into()
     } else {
@@ -243,10 +245,21 @@
     ///
     /// Meanwhile it may be killed, but not restarted before it has exited.
     pub async fn stop(&self) -> Result<(), String> {
+        let asked = self.ask_to_stop().await;
+        self.wait_stopped(asked).await
+    }
+
+    /// Sends SIGTERM and returns the id of the process, and when.
+    pub async fn ask_to_stop(&self) -> (Option<u32>, Instant) {
         let pid = self.child.lock().await.as_ref().and_then(Child::id);
         self.is_asked_to_stop.store(true, Ordering::Relaxed);
         self.signal("-TERM").await;
-        let began = Instant::now();
+        (pid, Instant::now())
+    }
+
+    /// The end of [`Self::stop`], from the signal on.
+    pub async fn wait_stopped(&self, asked: (Option<u32>, Instant)) -> Result<(), String> {
+        let (pid, began) = asked;
         loop {
             let mut slot = self.child.lock().await;
             // A concurrent stop or kill of the same process may have cleared it.
--- a/tests/soak/ledger.rs
+++ b/tests/soak/ledger.rs
@@ -32,6 +32,8 @@
     pub gateway: usize,
     pub method: &'static str,
     pub target: String,
+    /// Deadline that its caller sent, from the start of the request.
+    pub deadline_ms: u64,
     pub sent_ms: u64,
     pub ended_ms: u64,
     pub end: End,
@@ -61,6 +63,8 @@
     pub request: String,
     pub started_ms: u64,
     pub ended_ms: Option<u64>,
+    /// Whether its connection closed while the upstream was at work.
+    pub is_broken_off: bool,
     pub was_cold: bool,
     /// When the upstream reported to the store that it is draining.
     pub draining_since_ms: Option<u64>,
@@ -114,8 +118,10 @@
         runs.len() - 1
     }
 
-    pub fn end_run(&self, index: usize, ended_ms: u64) {
-        self.runs.lock().unwrap()[index].ended_ms = Some(ended_ms);
+    pub fn end_run(&self, index: usize, ended_ms: u64, is_broken_off: bool) {
+        let run = &mut self.runs.lock().unwrap()[index];
+        run.ended_ms = Some(ended_ms);
+        run.is_broken_off = is_broken_off;
     }
 
     /// Times at which an upstream ended under [`crate::crashing::MARK`].
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,8 +11,8 @@
 //! `SOAK_KEEP_LOGS`.
 //!
 //! `SOAK_OLD=PATH` runs the gateway of an older build beside this one; `SOAK_BUILDS` says which
-//! starts run it: `half` of the gateways, `alternate` at each start, or rolling the new one
-//! `out` or `back` as gateways are restarted.
+//! starts run it: `half` of the gateways, `alternate` at each start, rolling the new one `out` or
+//! `back` as gateways are restarted, or `all`.
 
 mod answers;
 mod balancer;
@@ -27,6 +27,7 @@
 mod limits;
 mod owners;
 mod proxy;
+mod slow_stops;
 mod sock_diag;
 mod store;
 mod upstream;
@@ -113,8 +114,11 @@
     };
     let (first, last) = range.split_once('-').unwrap_or((&range, &range));
     let (first, last): (u64, u64) = (first.parse().unwrap(), last.parse().unwrap());
-    if PLAY_SEEDS.contains(&first) || limits::PLAY_SEEDS.contains(&first) || cuts::is_played(first)
-    {
+    let is_play = PLAY_SEEDS.contains(&first)
+        || limits::PLAY_SEEDS.contains(&first)
+        || cuts::is_played(first)
+        || slow_stops::Play::of(first).is_some();
+    if is_play {
         return (first..=last).collect();
     }
     let mut seeds: Vec<u64> = FAILED_ONCE.iter().map(|(seed, _)| *seed).collect();
@@ -127,11 +131,13 @@
     let env = TestEnv::start(seed, size).await;
     let callers = caller::start(&env);
     let play = crashing::Play::of(seed);
-    let (mut cut, mut played) = (None, None);
+    let (mut cut, mut played, mut stopped) = (None, None, None);
     if let Some(play) = cuts::Play::of(seed) {
         cut = Some(cuts::play(&env, play).await);
     } else if let Some(play) = answers::Play::of(seed) {
         played = Some(answers::play(&env, play).await);
+    } else if let Some(play) = slow_stops::Play::of(seed) {
+        stopped = Some((play, slow_stops::play(&env, play).await));
     } else if let Some(play) = limits::Play::of(seed) {
         limits::play(&env, play).await;
     } else if let Some(play) = play {
@@ -174,6 +180,9 @@
                 .iter()
                 .flat_map(|played| answers::check(&env, played)),
         );
+        let stopped = stopped.iter();
+        violations
+            .extend(stopped.flat_map(|(play, planned)| slow_stops::check(&env, *play, planned)));
         violations.extend(limits::check(&env, faults_ended_ms));
         violations
     });
--- a/tests/soak/upstream.rs
+++ b/tests/soak/upstream.rs
@@ -16,7 +16,7 @@
 use crate::env::TestEnv;
 use crate::ledger::{Arrival, NamedLimit, Run};
 use crate::wire::{self, Message};
-use crate::{crashing, faults};
+use crate::{crashing, faults, slow_stops};
 
 /// Maximum number of requests that run at once, and of those that wait.
 pub const SLOTS: usize = 2;
@@ -31,6 +31,8 @@
     None,
     /// Requests run this many times as long.
     Slow(u32),
+    /// Requests run this long.
+    Works(Duration),
     /// Every request is answered with 500.
     Errors,
     /// Requests are accepted and not answered for a minute.
@@ -77,6 +79,7 @@
     pub config: UpstreamConfig,
     env: std::sync::Weak<TestEnv>,
     fault: watch::Sender<Fault>,
+    slot_count: usize,
     slots: Semaphore,
     waiting: AtomicUsize,
     cold_until_ms: AtomicU64,
@@ -104,11 +107,13 @@
         } else {
             0
         };
+        let slot_count = slow_stops::slots(env.seed).unwrap_or(SLOTS);
         let upstream = Arc::new(Upstream {
             config,
             env: Arc::downgrade(env),
             fault: watch::Sender::new(Fault::None),
-            slots: Semaphore::new(SLOTS),
+            slot_count,
+            slots: Semaphore::new(slot_count),
             waiting: AtomicUsize::new(0),
             cold_until_ms: AtomicU64::new(cold_until_ms),
             draining_since_ms: AtomicU64::new(0),
@@ -215,7 +220,7 @@
             "addr": self.config.advertised_address.to_string(),
             "zone": self.config.data_centre,
             "version": "v1",
-            "slots": SLOTS,
+            "slots": self.slot_count,
             "state": if is_draining { "draining" } else { "ready" },
             "warmup-left": format!("{}ms", self.cold_left_ms(env)),
             "seq": self.sequence.fetch_add(1, Ordering::Relaxed),
@@ -235,9 +240,10 @@
 
     /// Value of the load header.
     fn load_header(&self) -> String {
-        let running = SLOTS - self.slots.available_permits();
+        let slots = self.slot_count;
+        let running = slots - self.slots.available_permits();
         format!(
-            "{running},{},{SLOTS},100",
+            "{running},{},{slots},100",
             self.waiting.load(Ordering::Relaxed)
         )
     }
@@ -319,7 +325,7 @@
             headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
             return self.write(stream, start_line, &headers, b"").await.is_ok();
         }
-        let is_full = self.waiting.load(Ordering::Relaxed) >= SLOTS;
+        let is_full = self.waiting.load(Ordering::Relaxed) >= self.slot_count;
         if fault == Fault::ShedsLoad || is_full {
             let headers = [("x-request-id", id), ("x-not-executed", "1")];
             let start_line = "HTTP/1.1 503 Full";
@@ -338,7 +344,7 @@
         let index = env.ledger.start_run(self.new_run(env, request));
         let is_connected = self.work(fault, stream).await;
         self.thaw().await;
-        env.ledger.end_run(index, env.now_ms());
+        env.ledger.end_run(index, env.now_ms(), !is_connected);
         drop(slot);
         is_connected && self.reply(env, fault, request, stream).await
     }
@@ -378,6 +384,7 @@
             ),
             started_ms: env.now_ms(),
             ended_ms: None,
+            is_broken_off: false,
             was_cold: self.cold_left_ms(env) > 0,
             draining_since_ms: (draining_since_ms > 0).then_some(draining_since_ms),
         }
@@ -387,6 +394,7 @@
     async fn work(&self, fault: Fault, stream: &mut BufReader<TcpStream>) -> bool {
         let time = match fault {
             Fault::Slow(factor) => WORK_TIME * factor,
+            Fault::Works(time) => time,
             Fault::Hangs => Duration::from_mins(1),
             _ => WORK_TIME,
         };
