Overdue attempts: refused ones are made again, a standstill makes none overdue

Also, by reading: an attempt that is sent once more is expected anew; one that is overdue and then fails counts once; attempts count from when they are added. Tests of the stop: both sides of the end must show, margins are wider.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -35,7 +35,7 @@
     overdue: usize,
     /// Instances that the request was handed to.
     receivers: Vec<SocketAddr>,
-    /// Whether no instance took the request, so that this one tries its upstreams.
+    /// Whether no instance took the request, so that all further attempts are at upstreams.
     stays_here: bool,
 }
 
@@ -129,13 +129,21 @@
     is_overdue: bool,
 }
 
-impl Attempt<'_> {
+impl<'a> Attempt<'a> {
     /// All attempts of the request.
     #[must_use]
-    pub fn all(&self) -> &Attempts {
+    pub fn attempts(&self) -> &'a Attempts {
         self.attempts
     }
 
+    /// Records that the request is sent, perhaps once more: a response is expected anew.
+    pub fn begin_send(&mut self) {
+        if self.is_overdue {
+            self.is_overdue = false;
+            self.attempts.lock().overdue -= 1;
+        }
+    }
+
     /// Whether the attempt has taken longer than expected.
     #[must_use]
     pub fn is_overdue(&self) -> bool {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::attempts::{Attempt, Attempts};
 use super::calls::Call;
@@ -40,6 +40,9 @@
 /// that run are overdue.
 const RETRY_AGAIN_DELAY: Duration = Duration::from_millis(100);
 
+/// The same for one that was refused and not sent: room may have come.
+const REFUSED_AGAIN_DELAY: Duration = Duration::from_millis(250);
+
 /// Time in which an upstream must answer a check of the links if none could be probed.
 const LINK_CHECK_WAIT: Duration = Duration::from_millis(SILENCE_MS);
 
@@ -89,16 +92,17 @@
     gateway.on_request(&service);
     let attempts = Attempts::default();
     let mut running = FuturesUnordered::new();
-    running.push(attempt(gateway, call, &service, &attempts));
-    let mut may_add = true;
+    running.push(attempt(gateway, call, &service, attempts.begin()));
+    let mut beside = Beside::Allowed;
     let mut last_response: Option<Outcome> = None;
     loop {
         let end = tokio::select! {
             biased;
             Some(end) = running.next() => end,
-            () = retry_beside(gateway, call, &service, &attempts), if may_add => {
+            () = retry_beside(gateway, call, &service, &attempts, beside) => {
                 gateway.metrics.retries.inc();
-                running.push(attempt(gateway, call, &service, &attempts));
+                running.push(attempt(gateway, call, &service, attempts.begin()));
+                beside = Beside::Allowed;
                 continue;
             }
         };
@@ -108,7 +112,12 @@
                 AttemptEnd::Final(outcome @ Outcome::Answered(_)) => return outcome,
                 AttemptEnd::Ended(outcome @ Outcome::Answered(_)) => last_response = Some(outcome),
                 AttemptEnd::Ended(_) => {}
-                AttemptEnd::Final(_) | AttemptEnd::Refused(_) => may_add = false,
+                AttemptEnd::Refused(_) if !gateway.is_stopping() => {
+                    beside = Beside::Unsent {
+                        again_at: Instant::now() + REFUSED_AGAIN_DELAY,
+                    };
+                }
+                AttemptEnd::Final(_) | AttemptEnd::Refused(_) => beside = Beside::Never,
             }
             continue;
         }
@@ -129,11 +138,22 @@
         }
         gateway.metrics.retries.inc();
         last_response = matches!(outcome, Outcome::Answered(_)).then_some(outcome);
-        may_add = true;
-        running.push(attempt(gateway, call, &service, &attempts));
+        beside = Beside::Allowed;
+        running.push(attempt(gateway, call, &service, attempts.begin()));
     }
 }
 
+/// Whether another attempt may begin beside those that run.
+#[derive(Clone, Copy, Debug)]
+enum Beside {
+    Allowed,
+    /// The last one was refused and not sent, so its retry is still to be used.
+    Unsent {
+        again_at: Instant,
+    },
+    Never,
+}
+
 /// Waits until all attempts are overdue and another one may begin beside them.
 ///
 /// A suspect request runs at one place at a time.
@@ -142,7 +162,20 @@
     call: &Call,
     service: &Arc<str>,
     attempts: &Attempts,
+    beside: Beside,
 ) {
+    let again_at = match beside {
+        Beside::Allowed => None,
+        Beside::Unsent { again_at } => Some(again_at),
+        Beside::Never => return std::future::pending().await,
+    };
+    if let Some(again_at) = again_at {
+        sleep_until(again_at).await;
+        attempts.all_overdue().await;
+        if !run_permit::is_suspect(gateway, call) && call.left_ms() > 0 {
+            return;
+        }
+    }
     loop {
         attempts.all_overdue().await;
         if !run_permit::is_suspect(gateway, call) && take_retry(gateway, call, service, attempts) {
@@ -180,9 +213,9 @@
     gateway: &Arc<Gateway<P>>,
     call: &Call,
     service: &Arc<str>,
-    attempts: &Attempts,
+    mut attempt: Attempt<'_>,
 ) -> AttemptEnd {
-    let mut attempt = attempts.begin();
+    let attempts = attempt.attempts();
     loop {
         let may_hand_over = attempts.may_hand_over();
         let mut end = try_once(gateway, call, service, &mut attempt, may_hand_over).await;
@@ -224,12 +257,12 @@
         Ok(permit) => permit,
         Err(denial) => {
             let refusal = denied(gateway, call, denial);
-            let history = attempt.all().history();
+            let history = attempt.attempts().history();
             return AttemptEnd::Final(history.correct_refusal(refusal)).into();
         }
     };
     let mut excluded = run_permit::ended_upstreams(gateway, call);
-    excluded.extend_from_slice(&attempt.all().history().tried);
+    excluded.extend_from_slice(&attempt.attempts().history().tried);
     let choice = choose_upstream(gateway, call, service, &excluded, may_hand_over);
     let choice = tokio::select! {
         biased;
@@ -247,12 +280,12 @@
     }
     let id = Arc::clone(&chosen.upstream.upstream.report.id);
     attempt
-        .all()
+        .attempts()
         .update_history(|history| history.tried.push(id));
     let sent = send(gateway, call, chosen, attempt).await;
     drop(permit);
     let is_sent = !matches!(sent, SendOutcome::Unsent);
-    attempt.all().update_history(|history| {
+    attempt.attempts().update_history(|history| {
         history.sends += usize::from(is_sent);
         history.may_have_run |= may_have_run(call, &sent);
     });
@@ -267,7 +300,7 @@
         }
         SendOutcome::Unsent => TryEnd::Unsent,
         SendOutcome::NotRun => {
-            AttemptEnd::Ended(not_run(gateway, call, service, attempt.all())).into()
+            AttemptEnd::Ended(not_run(gateway, call, service, attempt.attempts())).into()
         }
         SendOutcome::Failed(reason) => AttemptEnd::Ended(Outcome::gateway_error(reason)).into(),
     }
--- a/src/gateway/hand_over.rs
+++ b/src/gateway/hand_over.rs
@@ -70,7 +70,7 @@
             ask_once(gateway).await;
         }
         // The same one again may be reached on a new connection.
-        let others = declined.and(&attempt.all().receivers());
+        let others = declined.and(&attempt.attempts().receivers());
         let known = gateway.offers.take(&others);
         let Some(known) = known.or_else(|| gateway.offers.take(&declined)) else {
             let may_come = is_cut_young(gateway, began_ms)
@@ -83,7 +83,7 @@
             sleep(ASK_AGAIN_DELAY).await;
             continue;
         };
-        let history = attempt.all().history();
+        let history = attempt.attempts().history();
         let end = hand_to(gateway, call, service, &history, &known, attempt).await;
         log_end(gateway, call, &known, &end);
         match end {
@@ -105,8 +105,8 @@
                 let outcome = outcome.unwrap_or_else(|| give_up_response(gateway, call, &known));
                 let was_sent = all.sends > history.sends;
                 attempt
-                    .all()
-                    .update_history(|known| known.add(&history, all));
+                    .attempts()
+                    .update_history(|current| current.add(&history, all));
                 let end = ended(call, was_sent, outcome);
                 if !matches!(end, AttemptEnd::Refused(_)) || refusal.is_some() {
                     return end.into();
@@ -119,7 +119,7 @@
             Err(error) => {
                 gateway.metrics.on_handed("lost");
                 gateway.offers.remove(known.address);
-                attempt.all().update_history(|history| {
+                attempt.attempts().update_history(|history| {
                     history.sends += 1;
                     history.may_have_run = true;
                 });
@@ -241,15 +241,17 @@
         );
     }
     attempt.note_receiver(known.address);
+    attempt.begin_send();
     let mut end = pin!(client.run_handed(request, call.deadline));
     tokio::select! {
+        biased;
         end = &mut end => return end,
         () = overdue(overdue_at) => {}
     }
     on_overdue(gateway, call, known);
     tokio::select! {
         end = &mut end => return end,
-        () = learn_upstreams(&client, call, attempt.all()) => {}
+        () = learn_upstreams(&client, call, attempt.attempts()) => {}
     }
     attempt.set_overdue();
     end.await
--- a/src/gateway/sending.rs
+++ b/src/gateway/sending.rs
@@ -152,7 +152,7 @@
             sent
         }
         Some(Err(error)) => {
-            on_exchange_error(gateway, call, &client, &error, sent_at);
+            on_exchange_error(gateway, call, &sent, &error, attempt);
             crash_evidence::on_failed_exchange(gateway, call, &client, &error).await;
             SendOutcome::Failed(Reason::UpstreamFailed)
         }
@@ -186,7 +186,10 @@
     let id_header = Some(&gateway.platform.headers().request_id);
     let exchange = connection.exchange_within(request, id_header, &gateway.response_memory);
     let mut exchange = pin!(timeout_at(call.deadline, exchange));
+    attempt.begin_send();
     let cause = tokio::select! {
+        // A response that came while this process stood still is in time.
+        biased;
         result = &mut exchange => return result.ok(),
         () = overdue(sent.overdue_at) => OverdueCause::Estimate,
         () = gateway.contact.cut_off(), if sent.overdue_at.is_some() => OverdueCause::LostLinks,
@@ -296,17 +299,22 @@
 fn on_exchange_error<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
-    client: &UpstreamClient,
+    sent: &Sent<'_>,
     error: &ExchangeError,
-    began: Instant,
+    attempt: &Attempt<'_>,
 ) {
+    let client = sent.client;
     if matches!(error, ExchangeError::NoMemory) {
         client.ejection().on_abandoned();
         let id = call.id_text();
         tracing::info!(request = id, upstream = %client.id, %error, "response given up");
         return;
     }
-    record_failure(gateway, call, client, Evidence::Failed, began, error);
+    if attempt.is_overdue() {
+        record_evidence(gateway, call, client, Evidence::Overdue, false, error);
+        return;
+    }
+    record_failure(gateway, call, client, Evidence::Failed, sent.sent_at, error);
 }
 
 /// Records that a response is overdue; the upstream may still be at work on it.
@@ -339,7 +347,6 @@
     let silent_ms = to_ms(sent.sent_at.elapsed());
     let what = format_args!("no response for {silent_ms} ms, until the deadline").to_string();
     if attempt.is_overdue() {
-        // It has counted towards the ejection already.
         record_evidence(gateway, call, sent.client, Evidence::Overdue, false, &what);
         return;
     }
@@ -366,7 +373,8 @@
     record_evidence(gateway, call, client, evidence, is_ejected, what);
 }
 
-/// Records the end of an attempt in the metrics and the log.
+/// Records the end of an attempt in the metrics and the log; an overdue one has counted towards
+/// the ejection already.
 fn record_evidence<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -444,7 +444,7 @@
         ..route()
     };
     let short = Route {
-        timeout_ms: 3_000,
+        timeout_ms: 2_600,
         ..route()
     };
     let process = StoppingProcess::start(&[&upstream], &[short, long]).await;
@@ -472,9 +472,9 @@
     expect_that!(sent.response, starts_with("HTTP/1.1 200"));
 }
 
-/// Sends half a head 2.6 s after the begin of a stop, and the rest at `at`; returns whether what
-/// ran has a whole answer.
-async fn is_answered_if_it_runs(at: Duration) -> bool {
+/// Sends half a head 2.6 s after the begin of a stop, and the rest at `at`; returns whether
+/// it ran, and whether its answer is whole.
+async fn last_request(at: Duration) -> (bool, bool) {
     let upstream = FakeUpstream::start("up-1", Behaviour::Serve(LAST_WORK)).await;
     let process = StoppingProcess::start(&[&upstream], &[route()]).await;
     let address = process.address;
@@ -492,7 +492,7 @@
     let request = tokio::spawn(request);
     process.stop().await;
     let response = request.await.unwrap();
-    upstream.runs().is_empty() || is_complete(&response)
+    (!upstream.runs().is_empty(), is_complete(&response))
 }
 
 // Guards against a request that is passed on between the last look for requests and the end of
@@ -503,12 +503,17 @@
     let mut moments = Vec::new();
     for step in 0..30 {
         let at = LAST_CONNECTION + Duration::from_millis(400) + LAST_STEP * step;
-        moments.push(async move { (at, is_answered_if_it_runs(at).await) });
+        moments.push(async move { (at, last_request(at).await) });
     }
 
-    for (at, is_answered) in join_all(moments).await {
-        expect_that!(is_answered, eq(true), "{at:?}");
+    let ends = join_all(moments).await;
+
+    for (at, (has_run, is_whole)) in &ends {
+        expect_that!(*is_whole || !has_run, eq(true), "{at:?}");
     }
+    // The moments lie on both sides of the end.
+    expect_that!(ends.first().unwrap().1, eq((true, true)));
+    expect_that!(ends.last().unwrap().1.0, eq(false));
 }
 
 // Guards against a request of another instance that ends before its deadline, by the time that
--- a/tests/gateway/slow_upstreams.rs
+++ b/tests/gateway/slow_upstreams.rs
@@ -12,6 +12,7 @@
 use chicorywing::gateway::state::Gateway;
 use futures::future::join_all;
 use googletest::prelude::*;
+use tokio::runtime::Runtime;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -35,6 +36,8 @@
 /// Load of an upstream that is not chosen while another has room.
 const BUSY: &str = "1,0,2,300";
 const IDLE: &str = "0,0,2,100";
+/// Time for which an upstream has no room, or the process stands still: responses are overdue.
+const FULL_TIME: Duration = Duration::from_millis(1_200);
 /// Time for which a service that has turned slow is watched.
 const SLOW_TIME: Duration = Duration::from_secs(6);
 
@@ -253,8 +256,9 @@
             upstream.set_behaviour(Behaviour::Serve(SLOW));
         }
 
+        let before = runs(&fleet.upstreams);
         let requests = [(); 3].map(|()| fleet.send(&slow_route(1)));
-        sleep(ON_THE_WAY).await;
+        within(SLOW, "all run", || runs(&fleet.upstreams) == before + 3).await;
         if let Some(number) = stopping {
             fleet.instances[number].gateway.begin_stop();
         }
@@ -391,3 +395,43 @@
 
     expect_that!(outcome.status().as_u16(), eq(502));
 }
+
+// Guards against one refusal beside an overdue attempt being final, although room comes soon.
+#[gtest]
+#[tokio::test]
+async fn a_refused_attempt_beside_an_overdue_one_is_made_again() {
+    let hung = FakeUpstream::start("up-1", Behaviour::Hang).await;
+    let full = FakeUpstream::start("up-2", Behaviour::Serve(FAST)).await;
+    full.set_load("2,9,2,300");
+    let route = slow_route(2);
+    let gateway = gateway_of(&[&hung, &full], &route);
+
+    let request = send(&gateway, &route);
+    sleep(FULL_TIME).await;
+    full.set_load(IDLE);
+
+    expect_that!(request.await.unwrap().status().as_u16(), eq(200));
+}
+
+// Guards against attempts whose responses have come being taken for overdue after a standstill
+// of this process.
+#[gtest]
+#[tokio::test]
+async fn a_process_that_stood_still_finds_no_answered_attempt_overdue() {
+    let elsewhere = Runtime::new().unwrap();
+    let start = FakeUpstream::start("up-1", Behaviour::Serve(ON_THE_WAY));
+    let upstream = elsewhere.spawn(start).await.unwrap();
+    let route = slow_route(2);
+    let gateway = gateway_of(&[&upstream], &route);
+    let requests: Vec<_> = (0..10).map(|_| send(&gateway, &route)).collect();
+    within(SLOW, "all run", || upstream.runs().len() == 10).await;
+
+    std::thread::sleep(FULL_TIME);
+
+    for request in requests {
+        expect_that!(request.await.unwrap().status().as_u16(), eq(200));
+    }
+    let metrics = gateway.metrics.text();
+    expect_that!(metrics, not(contains_substring("overdue_attempts_total{")));
+    elsewhere.shutdown_background();
+}
