Tests: an answer that is cut at a stop by unread further requests (red); the order of two counts

A request now counts as unwritten before it stops counting as in flight, so a stop that looks between the two sees it.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -122,8 +122,9 @@
 
 impl<P> Drop for RequestGuard<'_, P> {
     fn drop(&mut self) {
-        self.callers.requests.fetch_sub(1, Ordering::Relaxed);
+        // First, so that a stop sees the request or its unwritten response at any moment.
         self.activity.end_request();
+        self.callers.requests.fetch_sub(1, Ordering::Relaxed);
         self.gateway.metrics.in_flight.dec();
     }
 }
--- a/tests/gateway/planned_stop.rs
+++ b/tests/gateway/planned_stop.rs
@@ -51,6 +51,13 @@
 /// Work of the last request, which outlasts the process if that ends without it.
 const LAST_WORK: Duration = Duration::from_millis(300);
 
+/// Body of an answer that the buffers of the kernel hold.
+const KERNEL_BYTES: usize = 400 * 1024;
+/// Distance between further requests on one connection.
+const FURTHER_INTERVAL: Duration = Duration::from_millis(30);
+/// Time after which their caller begins to read.
+const FURTHER_READING_DELAY: Duration = Duration::from_secs(1);
+
 /// How a request is on its way when the stop begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 enum Kind {
@@ -547,3 +554,42 @@
     );
     process.runtime.shutdown_background();
 }
+
+/// Sends a request and then, while its answer is made, `further` ones; begins to read late, and
+/// returns the length of what comes.
+async fn read_after_further_requests(address: SocketAddr, further: usize) -> usize {
+    let mut stream = send_with_small_buffer(address).await;
+    for _ in 0..further {
+        sleep(FURTHER_INTERVAL).await;
+        let next = b"GET /x HTTP/1.1\r\nhost: h.example\r\nt-id: next\r\n\r\n";
+        stream.write_all(next).await.unwrap();
+    }
+    sleep(FURTHER_READING_DELAY).await;
+    let mut received = 0;
+    let mut bytes = vec![0; 64 * 1024];
+    while let Ok(count) = stream.read(&mut bytes).await
+        && count > 0
+    {
+        received += count;
+    }
+    received
+}
+
+// Guards against an answer that the kernel still holds being dropped at a stop, since its
+// connection is closed with further requests unread.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_though_its_caller_has_sent_further_requests() {
+    let upstream = FakeUpstream::start("up-1", Behaviour::ServeBytes(KERNEL_BYTES)).await;
+    upstream.set_probe_delay(FURTHER_INTERVAL * 8);
+    let process = StoppingProcess::start(&[&upstream], &[route()]).await;
+    let address = process.address;
+    let stopping = tokio::spawn(process.stop());
+    sleep(FURTHER_INTERVAL * 7).await;
+
+    let callers = (0..4).map(|further| read_after_further_requests(address, further));
+    let received = join_all(callers).await;
+
+    expect_that!(received, each(ge(&KERNEL_BYTES)));
+    stopping.await.unwrap();
+}
