--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -172,7 +172,7 @@
     if let Some(again_at) = again_at {
         sleep_until(again_at).await;
         attempts.all_overdue().await;
-        if !run_permit::is_suspect(gateway, call) && call.left_ms() > 0 {
+        if !run_permit::is_suspect(gateway, call) && has_attempts_left(call, attempts) {
             return;
         }
     }
@@ -364,8 +364,12 @@
     service: &Arc<str>,
     attempts: &Attempts,
 ) -> bool {
+    has_attempts_left(call, attempts) && gateway.try_acquire_retry(service)
+}
+
+fn has_attempts_left(call: &Call, attempts: &Attempts) -> bool {
     let most = usize::try_from(call.route.attempts).unwrap_or(usize::MAX);
-    attempts.sends() < most && call.left_ms() > 0 && gateway.try_acquire_retry(service)
+    attempts.sends() < most && call.left_ms() > 0
 }
 
 fn retry_after_ms<P: Platform>(gateway: &Gateway<P>, call: &Call) -> u64 {
